--- /dev/null
+++ b/deploy/options.hcl
@@ -0,0 +1,24 @@
+# Operators' options of rockrun, with their defaults. Times are in seconds.
+
+# Between two looks of the sizer at the fleet (0.2 to 60).
+cycle_s = 1
+# How long work is blocked before machines are rented (0 to 600).
+rent_window_s = 1
+# How long the fleet is idle enough before one machine drains (0 to 3600).
+give_window_s = 30
+# Booked share of the fleet's CPUs below which machines go back (0 to 1).
+give_below = 0.3
+# Machines never given back, and machines at most (0 and 1 to 100000).
+fleet_min = 0
+fleet_max = 500
+# Cloud calls for rentals a cycle at most (1 to 20).
+calls_per_cycle = 2
+# Multiples of a type's boot time after which a boot counts as failed (1.5 to 20).
+boot_patience = 2.5
+# A holder's lease on its machines; 0 derives it from the workers' lease (0 to 600).
+block_lease_s = 0
+# Teams that share one home controller before the next is used (1 to 10000).
+home_teams = 8
+# Silence after which a running machine is replaced; 0 derives it from the
+# workers' lease (0 to 3600).
+silent_s = 0
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,114 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `
+node_name = "a"
+area = "north"
+public_addr = "10.0.0.1:8080"
+peer_bind = "10.0.0.1:8081"
+unheard_of = 7
+[[siblings]]
+node_name = "b"
+address = "10.0.0.2:8081"
+[external]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[cluster]
+initial_size = 2
+[[cluster.teams]]
+name = "red"
+cpus = 64.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 30.0
+cancel_s = 60.0
+[cluster.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 8.0
+txn_ops = 32
+[cluster.cloud]
+rps = 4.0
+`
+
+func TestSettings(t *testing.T) {
+	if _, err := ParseSettings([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ from, to, field string }{
+		{`node_name = "a"`, ``, "node_name"},
+		{`public_addr = "10.0.0.1:8080"`, `public_addr = "host:8080"`, "public_addr"},
+		{`node_name = "b"`, `node_name = "a"`, "siblings[0].node_name"},
+		{`state = "10.2.0.1:2379"`, ``, "external.state"},
+		{`lease_s = 30.0`, ``, "cluster.workers.lease_s"},
+		{`cancel_s = 60.0`, `cancel_s = 35.0`, "cluster.workers.cancel_s"},
+		{`txn_ops = 32`, `txn_ops = 1`, "cluster.state.txn_ops"},
+		{`name = "red"`, `name = ""`, "cluster.teams[0].name"},
+		{`write_rps = 80.0`, `write_rps = -1.0`, "cluster.state.write_rps"},
+	} {
+		_, err := ParseSettings([]byte(strings.Replace(good, c.from, c.to, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.field) {
+			t.Errorf("%q for %q: error %v does not name %s", c.to, c.from, err, c.field)
+		}
+	}
+}
+
+func TestOptions(t *testing.T) {
+	o, err := ParseOptions("o.hcl", []byte("cycle_s = 2\nfleet_max = 12\n"))
+	if err != nil || o.CycleS != 2 || o.FleetMax != 12 || o.RentWindowS != DefaultOptions().RentWindowS {
+		t.Errorf("%+v, %v", o, err)
+	}
+	for _, c := range []struct{ text, names string }{
+		{"cycle_s = 0\n", "o.hcl:1"},
+		{"\nno_such = 1\n", "o.hcl:2"},
+		{"fleet_max = 1.5\n", "fleet_max"},
+		{"cycle_s = \"fast\"\n", "o.hcl:1"},
+		{"cycle_s = \n", "o.hcl:1"},
+		{"fleet_min = 10\nfleet_max = 5\n", "fleet_min"},
+	} {
+		if _, err := ParseOptions("o.hcl", []byte(c.text)); err == nil || !strings.Contains(err.Error(), c.names) {
+			t.Errorf("%q: error %v does not name %s", c.text, err, c.names)
+		}
+	}
+}
+
+// The example file must say what the defaults are.
+func TestExampleOptions(t *testing.T) {
+	data, err := os.ReadFile("../../deploy/options.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := ParseOptions("options.hcl", data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o != DefaultOptions() {
+		t.Errorf("the example says %+v, the defaults are %+v", o, DefaultOptions())
+	}
+	for _, r := range optionTable() {
+		if !strings.Contains(string(data), r.name) {
+			t.Errorf("the example leaves out %s", r.name)
+		}
+	}
+}
+
+// A withdrawal unknown to a holder must reach the end of the worker's lease
+// within the time for cancelling, with the answer's way and drift on top.
+func TestBudgets(t *testing.T) {
+	for _, w := range []Workers{{LeaseS: 30, CancelS: 60}, {LeaseS: 44, CancelS: 74}, {LeaseS: 10, CancelS: 100}} {
+		a := w.Authority()
+		if a <= 0 || a > w.Lease() || a+w.Lease()+w.Lease()/1000+4*time.Second >= w.Cancel() {
+			t.Errorf("%+v: authority %s", w, a)
+		}
+		b := DefaultOptions().BlockLease(w)
+		if b <= 0 || b > (w.Cancel()-w.Lease())/2 || b >= a {
+			t.Errorf("%+v: block lease %s", w, b)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/options.go
@@ -0,0 +1,134 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+)
+
+// Options are the operators' own settings. Times are in seconds.
+type Options struct {
+	CycleS       float64 // between two looks of the sizer at the fleet
+	RentWindowS  float64 // how long work is blocked before machines are rented
+	GiveWindowS  float64 // how long the fleet is idle enough before one machine drains
+	GiveBelow    float64 // booked share below which machines may be given back
+	FleetMin     int     // machines never given back
+	FleetMax     int     // machines at most
+	CallsPerTurn int     // cloud calls a cycle at most
+	BootPatience float64 // multiples of a type's boot time after which a boot counts as failed
+	BlockLeaseS  float64 // a holder's lease on its machines; 0: derived from the workers' lease
+	HomeTeams    int     // teams that share one home controller
+	SilentS      float64 // silence after which a machine is given up while it is listed as running; 0: derived
+}
+
+// DefaultOptions are used where the operators' file says nothing.
+func DefaultOptions() Options {
+	return Options{
+		CycleS: 1, RentWindowS: 1, GiveWindowS: 30, GiveBelow: 0.3,
+		FleetMin: 0, FleetMax: 500, CallsPerTurn: 2, BootPatience: 2.5, HomeTeams: 8,
+	}
+}
+
+// optionRange is the table behind options files and their documentation.
+type optionRange struct {
+	name     string
+	low, top float64
+	whole    bool
+	set      func(*Options, float64)
+}
+
+func optionTable() []optionRange {
+	return []optionRange{
+		{"cycle_s", 0.2, 60, false, func(o *Options, v float64) { o.CycleS = v }},
+		{"rent_window_s", 0, 600, false, func(o *Options, v float64) { o.RentWindowS = v }},
+		{"give_window_s", 0, 3600, false, func(o *Options, v float64) { o.GiveWindowS = v }},
+		{"give_below", 0, 1, false, func(o *Options, v float64) { o.GiveBelow = v }},
+		{"fleet_min", 0, 100000, true, func(o *Options, v float64) { o.FleetMin = int(v) }},
+		{"fleet_max", 1, 100000, true, func(o *Options, v float64) { o.FleetMax = int(v) }},
+		{"calls_per_cycle", 1, 20, true, func(o *Options, v float64) { o.CallsPerTurn = int(v) }},
+		{"boot_patience", 1.5, 20, false, func(o *Options, v float64) { o.BootPatience = v }},
+		{"block_lease_s", 0, 600, false, func(o *Options, v float64) { o.BlockLeaseS = v }},
+		{"home_teams", 1, 10000, true, func(o *Options, v float64) { o.HomeTeams = int(v) }},
+		{"silent_s", 0, 3600, false, func(o *Options, v float64) { o.SilentS = v }},
+	}
+}
+
+// LoadOptions reads the operators' file; an empty path gives the defaults.
+func LoadOptions(path string) (Options, error) {
+	if path == "" {
+		return DefaultOptions(), nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Options{}, fmt.Errorf("options: %w", err)
+	}
+	return ParseOptions(path, data)
+}
+
+// ParseOptions reads options from HCL. Errors name file and line.
+func ParseOptions(path string, data []byte) (Options, error) {
+	o := DefaultOptions()
+	file, diags := hclparse.NewParser().ParseHCL(data, path)
+	if diags.HasErrors() {
+		return o, fmt.Errorf("options: %w", diags)
+	}
+	attrs, diags := file.Body.JustAttributes()
+	if diags.HasErrors() {
+		return o, fmt.Errorf("options: %w", diags)
+	}
+	table := optionTable()
+	for name, attr := range attrs {
+		var known *optionRange
+		for i := range table {
+			if table[i].name == name {
+				known = &table[i]
+			}
+		}
+		wrong := func(what string) {
+			diags = diags.Append(&hcl.Diagnostic{Severity: hcl.DiagError, Summary: name, Detail: what, Subject: &attr.Range})
+		}
+		if known == nil {
+			wrong("no such option")
+			continue
+		}
+		var v float64
+		if d := gohcl.DecodeExpression(attr.Expr, nil, &v); d.HasErrors() {
+			diags = diags.Extend(d)
+			continue
+		}
+		if v < known.low || v > known.top || known.whole && v != float64(int(v)) {
+			wrong(fmt.Sprintf("%v is out of range, %v to %v", v, known.low, known.top))
+			continue
+		}
+		known.set(&o, v)
+	}
+	if diags.HasErrors() {
+		return o, fmt.Errorf("options: %w", diags)
+	}
+	if o.FleetMin > o.FleetMax {
+		return o, fmt.Errorf("options: %s: fleet_min is above fleet_max", path)
+	}
+	return o, nil
+}
+
+// BlockLease is a holder's lease on its machines: a sixth of the workers'
+// lease, never more than half of what cancelling leaves beyond it.
+func (o Options) BlockLease(w Workers) time.Duration {
+	top := (w.Cancel() - w.Lease()) / 2
+	if o.BlockLeaseS > 0 {
+		return min(seconds(o.BlockLeaseS), top)
+	}
+	return min(w.Lease()/6, top)
+}
+
+// Silence is how long a running machine may say nothing before it is replaced.
+func (o Options) Silence(w Workers) time.Duration {
+	if o.SilentS > 0 {
+		return seconds(o.SilentS)
+	}
+	return w.Lease() * 2 / 3
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,211 @@
+// Package config reads the two files a controller is given: the platform's
+// settings (TOML) and, if there is one, the operators' options (HCL).
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Settings are the platform's settings. Fields unknown to this version are
+// ignored.
+type Settings struct {
+	Node       string    `toml:"node_name"`
+	Zone       string    `toml:"area"`
+	PublicAddr string    `toml:"public_addr"`
+	PeerAddr   string    `toml:"peer_bind"`
+	Siblings   []Sibling `toml:"siblings"`
+	External   External  `toml:"external"`
+	Cluster    Cluster   `toml:"cluster"`
+}
+
+// Sibling is another controller.
+type Sibling struct {
+	Node    string `toml:"node_name"`
+	Zone    string `toml:"area"`
+	Address string `toml:"address"`
+}
+
+// External names the services the controllers depend on.
+type External struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Cluster is what all controllers share.
+type Cluster struct {
+	Size       int         `toml:"initial_size"`
+	Zones      []string    `toml:"zones"`
+	ClockOffMS float64     `toml:"clock_off_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    Workers     `toml:"workers"`
+	State      State       `toml:"state"`
+	Cloud      Cloud       `toml:"cloud"`
+	Limits     Limits      `toml:"limits"`
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is one aim on starting or finishing work.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Times   float64 `toml:"times"`
+	Share   float64 `toml:"share"`
+}
+
+// Workers are the workers' times.
+type Workers struct {
+	ReportS float64 `toml:"report_s"`
+	LeaseS  float64 `toml:"lease_s"`
+	CancelS float64 `toml:"cancel_s"`
+}
+
+// State is what the state service allows all controllers together.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud is what the cloud allows.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Limits are the machine's.
+type Limits struct {
+	Cores    float64 `toml:"cores"`
+	MemoryMB float64 `toml:"mem_mb"`
+	Sockets  int     `toml:"fd_limit"`
+}
+
+// Lease is the workers' lease.
+func (w Workers) Lease() time.Duration { return seconds(w.LeaseS) }
+
+// Report is the time between a worker's reports.
+func (w Workers) Report() time.Duration { return seconds(w.ReportS) }
+
+// Cancel is the time in which all tasks of a withdrawn job must be gone.
+func (w Workers) Cancel() time.Duration { return seconds(w.CancelS) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// LoadSettings reads and checks the platform's settings.
+func LoadSettings(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := ParseSettings(data)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// ParseSettings reads and checks settings. Every fault found is in the error.
+func ParseSettings(data []byte) (*Settings, error) {
+	var s Settings
+	if err := toml.Unmarshal(data, &s); err != nil {
+		return nil, err
+	}
+	return &s, s.check()
+}
+
+func (s *Settings) check() error {
+	var faults []error
+	fault := func(field, what string) { faults = append(faults, fmt.Errorf("%s: %s", field, what)) }
+	addr := func(field, v string) {
+		if v == "" {
+			fault(field, "missing")
+		} else if _, err := netip.ParseAddrPort(v); err != nil {
+			fault(field, "not an IP address and port")
+		}
+	}
+	positive := func(field string, v float64) {
+		if !(v > 0) {
+			fault(field, "missing or not above 0")
+		}
+	}
+	if s.Node == "" {
+		fault("node_name", "missing")
+	}
+	addr("public_addr", s.PublicAddr)
+	addr("peer_bind", s.PeerAddr)
+	addr("external.cloud", s.External.Cloud)
+	addr("external.state", s.External.State)
+	seen := map[string]bool{s.Node: true}
+	for i, p := range s.Siblings {
+		field := fmt.Sprintf("siblings[%d].", i)
+		if p.Node == "" {
+			fault(field+"node_name", "missing")
+		} else if seen[p.Node] {
+			fault(field+"node_name", "given twice")
+		}
+		seen[p.Node] = true
+		addr(field+"address", p.Address)
+	}
+	if len(s.Cluster.Teams) == 0 {
+		fault("cluster.teams", "missing")
+	}
+	teams := map[string]bool{}
+	for i, t := range s.Cluster.Teams {
+		field := fmt.Sprintf("cluster.teams[%d].", i)
+		if t.Name == "" {
+			fault(field+"name", "missing")
+		} else if teams[t.Name] {
+			fault(field+"name", "given twice")
+		}
+		teams[t.Name] = true
+		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
+			fault(field+"cpus", "below 0")
+		}
+	}
+	w := s.Cluster.Workers
+	positive("cluster.workers.report_s", w.ReportS)
+	positive("cluster.workers.lease_s", w.LeaseS)
+	positive("cluster.workers.cancel_s", w.CancelS)
+	if w.CancelS > 0 && w.CancelS <= w.LeaseS+2*Margin.Seconds() {
+		fault("cluster.workers.cancel_s", "must exceed lease_s by more than 10 s")
+	}
+	positive("cluster.state.rps", s.Cluster.State.RPS)
+	positive("cluster.state.write_rps", s.Cluster.State.WriteRPS)
+	positive("cluster.state.value_kb", s.Cluster.State.ValueKB)
+	if s.Cluster.State.TxnOps < 3 {
+		fault("cluster.state.txn_ops", "missing or below 3")
+	}
+	positive("cluster.cloud.rps", s.Cluster.Cloud.RPS)
+	if s.Cluster.Limits.MemoryMB < 0 || s.Cluster.Limits.Sockets < 0 {
+		fault("cluster.limits", "below 0")
+	}
+	return errors.Join(faults...)
+}
+
+// Margin is what the time budgets of leases leave for an answer on its way
+// (a worker drops answers after 4 s) and for drifting clocks.
+const Margin = 5 * time.Second
+
+// Authority is how old a holder's knowledge of withdrawals may be while it
+// still renews workers' leases: a withdrawal it has not heard of must reach
+// the end of the worker's lease within the time for cancelling.
+func (w Workers) Authority() time.Duration {
+	a := w.Cancel() - w.Lease() - w.Lease()/1000 - Margin
+	return min(a, w.Lease())
+}
--- /dev/null
+++ b/internal/coordination/election.go
@@ -0,0 +1,162 @@
+package coordination
+
+import (
+	"errors"
+	"time"
+
+	"rockrun/internal/bookkeeping"
+	"rockrun/internal/protocol"
+)
+
+// leadership is what a leader knows besides the records. It is rebuilt from
+// pings and the cloud's list by every new leader.
+type leadership struct {
+	n       *Node
+	term    uint64
+	lease   uint64
+	since   time.Duration
+	touched time.Duration // when the last renewal that succeeded was sent
+	touchAt time.Duration
+	counter uint64
+
+	peers    map[string]*peerInfo
+	granting []bool
+	grantAt  []time.Duration
+	homing   bool
+	homeAt   time.Duration
+	fleet    *fleet
+}
+
+// electionTick renews the leader's lease, or stands for election when nobody
+// leads. A former incarnation of this very node that still seems to lead is
+// known to be over and is succeeded at once.
+func (n *Node) electionTick() {
+	now := n.now()
+	if n.lead != nil {
+		n.lead.touch(now)
+		return
+	}
+	vacant := n.book.LeaderVer == 0 ||
+		n.book.Leader.Node == n.Settings.Node && n.book.Leader.Incarnation != n.incarnation
+	if !vacant {
+		n.candidateAt = 0
+		return
+	}
+	if n.candidate {
+		return
+	}
+	if n.candidateAt == 0 {
+		// Spread the candidates so that mostly one stands.
+		n.candidateAt = now + time.Duration(n.Rand.Int64N(int64(400*time.Millisecond)))
+	}
+	if now >= n.candidateAt {
+		n.stand()
+	}
+}
+
+// stand opens a lease and tries to take the leader's key and the next term in
+// one transaction. Winning shows when the record comes back with the changes.
+func (n *Node) stand() {
+	n.candidate = true
+	era := n.era
+	over := func() {
+		if era == n.era {
+			n.candidate, n.candidateAt = false, 0
+		}
+	}
+	n.State.NewLease(leaderTTL, func(lease uint64, err error) {
+		if era != n.era || n.stopped {
+			return
+		}
+		if err != nil {
+			n.later(n.jitter(retryPause), over)
+			return
+		}
+		n.claims[lease] = true
+		term := n.book.Term + 1
+		rec := bookkeeping.LeaderRecord{Node: n.Settings.Node, Incarnation: n.incarnation, Term: term, Lease: lease}
+		n.State.Txn(protocol.Txn{
+			If: []protocol.Cond{{Key: bookkeeping.KeyLeader, Version: n.book.LeaderVer}, {Key: bookkeeping.KeyTerm, Version: n.book.TermVer}},
+			Then: []protocol.Op{
+				{Put: bookkeeping.KeyLeader, Value: bookkeeping.Encode(rec), Lease: lease},
+				{Put: bookkeeping.KeyTerm, Value: bookkeeping.Encode(bookkeeping.TermRecord{Term: term})},
+			},
+		}, func(_ uint64, err error) {
+			// With no answer the transaction may still be applied; its record
+			// then arrives with the changes and is recognised by the lease.
+			pause := n.jitter(retryPause)
+			if errors.Is(err, protocol.ErrUnknown) {
+				pause = n.jitter(leaderTouch)
+			}
+			n.later(pause, over)
+		})
+	})
+}
+
+// checkLeadership compares the leader's record with what this node is.
+func (n *Node) checkLeadership() {
+	r := &n.book.Leader
+	mine := n.book.LeaderVer != 0 && r.Node == n.Settings.Node && r.Incarnation == n.incarnation && n.claims[r.Lease]
+	switch {
+	case mine && (n.lead == nil || n.lead.term != r.Term):
+		now := n.now()
+		n.lead = &leadership{
+			n: n, term: r.Term, lease: r.Lease, since: now, touched: n.freshAt,
+			peers:    map[string]*peerInfo{},
+			granting: make([]bool, n.shards), grantAt: make([]time.Duration, n.shards),
+		}
+		n.lead.fleet = newFleet(n.lead)
+		n.Log.Info("leading", "term", r.Term)
+		n.ping()
+	case !mine && n.lead != nil:
+		n.Log.Info("no longer leading", "term", n.lead.term)
+		n.lead = nil
+	}
+}
+
+// touch renews the lease about once a second.
+func (l *leadership) touch(now time.Duration) {
+	if now < l.touchAt {
+		return
+	}
+	l.touchAt = now + leaderTouch
+	n := l.n
+	n.State.Renew(l.lease, func(err error) {
+		if n.lead != l {
+			return
+		}
+		switch {
+		case err == nil:
+			l.touched = max(l.touched, now)
+		case errors.Is(err, protocol.ErrNoLease):
+			n.Log.Info("lease lost, no longer leading", "term", l.term)
+			n.lead = nil
+		default:
+			l.touchAt = n.now() + n.jitter(retryPause)
+		}
+	})
+}
+
+// sure reports whether the leader may still speak as one: a leader cut off from
+// the state service can't know whether it has been succeeded.
+func (l *leadership) sure() bool { return l.n.now()-l.touched < l.n.authority }
+
+// cond makes a write depend on this node still leading.
+func (l *leadership) cond() protocol.Cond {
+	return protocol.Cond{Key: bookkeeping.KeyLeader, Version: l.n.book.LeaderVer}
+}
+
+// token returns a fencing token above every earlier one: the term in the high
+// bits, then a counter of this leader's, then room for the holder's own steps.
+func (l *leadership) token() uint64 {
+	l.counter++
+	return l.term<<44 | l.counter<<24
+}
+
+func (l *leadership) tick() {
+	if !l.sure() {
+		return
+	}
+	l.grantTick()
+	l.fleet.tick()
+}
--- /dev/null
+++ b/internal/coordination/placement.go
@@ -0,0 +1,327 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rockrun/internal/bookkeeping"
+	"rockrun/internal/protocol"
+)
+
+// waiting is a job with tasks to place.
+type waiting struct {
+	job    *bookkeeping.Job
+	prog   *progress
+	within bool // fits into its team's guarantee with the team's earlier jobs
+}
+
+// order sorts jobs into the order in which they get machines: by priority, work
+// within a guarantee before borrowed share, the nearest deadline, the oldest.
+func order(list []waiting) {
+	slices.SortStableFunc(list, func(a, b waiting) int {
+		if c := cmp.Compare(a.job.Rank(), b.job.Rank()); c != 0 {
+			return c
+		}
+		if a.within != b.within {
+			if a.within {
+				return -1
+			}
+			return 1
+		}
+		if c := cmp.Compare(due(a.job), due(b.job)); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(a.job.AtMS, b.job.AtMS); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.job.ID, b.job.ID)
+	})
+}
+
+// due is the time of day, in milliseconds, by which a job should be complete.
+func due(j *bookkeeping.Job) int64 {
+	if j.DeadlineS <= 0 {
+		return 1 << 62
+	}
+	return j.AtMS + int64(j.DeadlineS*1000)
+}
+
+// waitingJobs lists the jobs of this home with open tasks, in order.
+func (h *holder) waitingJobs(now time.Duration) []waiting {
+	n := h.n
+	var list []waiting
+	var mine []*bookkeeping.Job
+	n.book.Jobs.All(func(_ int, j *bookkeeping.Job) {
+		if !j.Over() && n.entitled(n.book.Home(j)) {
+			mine = append(mine, j)
+		}
+	})
+	slices.SortFunc(mine, func(a, b *bookkeeping.Job) int {
+		return cmp.Or(cmp.Compare(a.AtMS, b.AtMS), cmp.Compare(a.ID, b.ID))
+	})
+	booked := make([]usage, len(n.book.Teams))
+	for _, j := range mine {
+		t := &n.book.Teams[j.TeamIdx]
+		p := h.progress(j)
+		open := float64(j.Tasks - p.doneN)
+		b := &booked[j.TeamIdx]
+		within := t.Guaranteed && b.cpus+open*j.CPUs <= t.CPUs+1e-6 && (j.GPUs == 0 || b.gpus+open*j.GPUs <= t.GPUs+1e-6)
+		b.cpus += open * j.CPUs
+		b.gpus += open * j.GPUs
+		if now < p.backoff {
+			continue
+		}
+		if h.nextOpen(j, p) >= 0 {
+			list = append(list, waiting{j, p, within})
+		} else {
+			p.waiting = 0
+		}
+	}
+	order(list)
+	return list
+}
+
+// nextOpen returns the first task of a job that waits to be placed, or -1.
+func (h *holder) nextOpen(j *bookkeeping.Job, p *progress) int {
+	for ; p.next < j.Tasks; p.next++ {
+		if !p.done.Has(p.next) && h.placed[bookkeeping.TaskRef{Job: j.Index, Task: p.next}] == 0 {
+			return p.next
+		}
+	}
+	return -1
+}
+
+// place gives waiting tasks to machines, and makes room for those that may
+// preempt others.
+func (h *holder) place() {
+	n := h.n
+	now := n.now()
+	list := h.waitingJobs(now)
+	if len(list) == 0 {
+		return
+	}
+	machines := h.sorted()
+	promised := map[*holding]*room{} // room that stops under way will leave
+	for _, w := range list {
+		promises, open := 0, max(1, w.job.Tasks-w.prog.doneN-w.job.Refs)
+		for {
+			task := h.nextOpen(w.job, w.prog)
+			if task < 0 {
+				w.prog.waiting = 0
+				break
+			}
+			if !h.underLimit(w.job) {
+				break
+			}
+			x := h.choose(machines, w.job, promised, now)
+			if x == nil {
+				if w.prog.waiting == 0 {
+					w.prog.waiting = now
+				}
+				// Each waiting task is promised room once.
+				if promises++; promises > open || !h.makeRoom(machines, w, promised, now) {
+					break
+				}
+				continue
+			}
+			h.tries++
+			h.add(&attempt{
+				job: w.job, task: task, on: x, planned: now,
+				try: n.book.Grants[x.shard].Token>>24<<24 | h.tries&(1<<24-1),
+			})
+			n.Log.Debug("place", "job", w.job.ID, "task", task, "machine", x.m.Name)
+		}
+	}
+}
+
+// underLimit reports whether one more task of a job keeps its team's limit.
+// Everything that may be on a machine counts.
+func (h *holder) underLimit(j *bookkeeping.Job) bool {
+	t, u := &h.n.book.Teams[j.TeamIdx], &h.usage[j.TeamIdx]
+	return !over(u.cpus+j.CPUs, t.CPUsMax) && !over(u.gpus+j.GPUs, t.GPUsMax)
+}
+
+// allowed reports whether a machine is one that a job's task may start on,
+// room aside.
+func (h *holder) allowed(x *holding, j *bookkeeping.Job) bool {
+	n := h.n
+	if x.m.Spot && !j.Spot || j.ZoneIdx >= 0 && j.ZoneIdx != x.m.ZoneIdx || !n.book.Fits(j, x.m.TypeIdx) {
+		return false
+	}
+	if !j.OneZone && !j.Spread {
+		return true
+	}
+	// Tasks that may be on a machine anywhere count, unproven ones too.
+	inZone, elsewhere := 0, 0
+	for _, y := range h.machines {
+		for _, a := range y.attempts {
+			if a.job == j && a.live() {
+				if y.m.ZoneIdx == x.m.ZoneIdx {
+					inZone++
+				} else {
+					elsewhere++
+				}
+			}
+		}
+	}
+	if j.OneZone && elsewhere > 0 {
+		return false
+	}
+	return !j.Spread || inZone+1 <= (j.Tasks+1)/2
+}
+
+// usable reports whether a machine takes new tasks now.
+func (h *holder) usable(x *holding, now time.Duration) bool {
+	report := h.n.Settings.Cluster.Workers.Report()
+	return h.n.entitled(x.shard) && x.fenced && x.m.Phase == bookkeeping.PhaseActive && x.notice == 0 &&
+		now >= x.avoid && now-x.heard < 2*report+time.Second
+}
+
+// room is what is left on a machine.
+type room struct{ cpus, gpus, memory float64 }
+
+func (r room) fits(j *bookkeeping.Job) bool {
+	return j.CPUs <= r.cpus+1e-6 && j.GPUs <= r.gpus+1e-6 && j.MemoryGB <= r.memory+1e-6
+}
+
+func (h *holder) free(x *holding) room {
+	t := &h.n.book.Types[x.m.TypeIdx]
+	return room{t.CPUs - x.cpus, t.GPUs - x.gpus, t.MemoryGB - x.memory}
+}
+
+// choose picks the machine for a task: spot before ordinary where the job
+// allows it, one that has the image, then the fullest, so that others empty.
+func (h *holder) choose(machines []*holding, j *bookkeeping.Job, promised map[*holding]*room, now time.Duration) *holding {
+	var best *holding
+	var bestScore float64
+	most := int(h.n.Settings.Cluster.State.ValueKB * 1024 / 64)
+	for _, x := range machines {
+		if promised[x] != nil || !h.usable(x, now) || len(x.attempts) >= most || !h.free(x).fits(j) || !h.allowed(x, j) {
+			continue
+		}
+		if h.has(x, j) {
+			continue
+		}
+		score := 0.0
+		if x.m.Spot {
+			score += 1000
+		}
+		if _, cached := x.images[j.ImageIdx]; cached {
+			score += 100
+		}
+		t := &h.n.book.Types[x.m.TypeIdx]
+		score += 50 * x.cpus / t.CPUs
+		if best == nil || score > bestScore {
+			best, bestScore = x, score
+		}
+	}
+	return best
+}
+
+// has reports whether a machine still lists an earlier attempt that is not
+// reaped; a start of another attempt would be refused.
+func (h *holder) has(x *holding, j *bookkeeping.Job) bool {
+	for _, t := range x.extras {
+		if id, _, err := protocol.SplitTask(t.Task); err == nil && id == j.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// mayStop reports whether work may be stopped to make room for a waiting job.
+func (h *holder) mayStop(w waiting, a *attempt) bool {
+	if a.job.Rank() > w.job.Rank() {
+		return true
+	}
+	// Guaranteed share comes before what another team has borrowed, but a
+	// service is never stopped for batch work.
+	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Kind == protocol.KindService && w.job.Kind != protocol.KindService {
+		return false
+	}
+	t := &h.n.book.Teams[a.job.TeamIdx]
+	return h.usage[a.job.TeamIdx].cpus-a.job.CPUs >= t.CPUs
+}
+
+// makeRoom stops the least work that lets one task of a job start; false when
+// nothing can be done.
+func (h *holder) makeRoom(machines []*holding, w waiting, promised map[*holding]*room, now time.Duration) bool {
+	var best *holding
+	var victims []*attempt
+	bestCost := 0.0
+	for _, x := range machines {
+		if !h.usable(x, now) || !h.allowed(x, w.job) {
+			continue
+		}
+		r := h.free(x)
+		if p := promised[x]; p != nil {
+			r = *p
+		} else {
+			for _, a := range x.attempts {
+				if a.live() && a.stop {
+					r.cpus += a.job.CPUs
+					r.gpus += a.job.GPUs
+					r.memory += a.job.MemoryGB
+				}
+			}
+		}
+		var list []*attempt
+		for _, a := range x.attempts {
+			if a.live() && !a.stop && h.mayStop(w, a) {
+				list = append(list, a)
+			}
+		}
+		slices.SortFunc(list, func(a, b *attempt) int {
+			return cmp.Or(cmp.Compare(b.job.Rank(), a.job.Rank()), cmp.Compare(b.planned, a.planned), cmp.Compare(a.try, b.try))
+		})
+		cost := 0.0
+		var chosen []*attempt
+		for _, a := range list {
+			if r.fits(w.job) {
+				break
+			}
+			r.cpus += a.job.CPUs
+			r.gpus += a.job.GPUs
+			r.memory += a.job.MemoryGB
+			cost += 1 + a.job.CPUs*(now-a.planned).Seconds()
+			chosen = append(chosen, a)
+		}
+		if !r.fits(w.job) {
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, victims, bestCost = x, chosen, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	r := promised[best]
+	if r == nil {
+		f := h.free(best)
+		r = &f
+		for _, a := range best.attempts {
+			if a.live() && a.stop {
+				r.cpus += a.job.CPUs
+				r.gpus += a.job.GPUs
+				r.memory += a.job.MemoryGB
+			}
+		}
+		promised[best] = r
+	}
+	for _, a := range victims {
+		r.cpus += a.job.CPUs
+		r.gpus += a.job.GPUs
+		r.memory += a.job.MemoryGB
+		a.stop, a.halted = true, 0
+		if a.job.CheckpointS > 0 {
+			a.grace = a.job.SaveS
+		}
+		h.n.Log.Info("preempt", "job", a.job.ID, "task", a.task, "machine", best.m.Name, "for", w.job.ID)
+	}
+	r.cpus -= w.job.CPUs
+	r.gpus -= w.job.GPUs
+	r.memory -= w.job.MemoryGB
+	return true
+}
--- /dev/null
+++ b/internal/coordination/sizer.go
@@ -0,0 +1,313 @@
+package coordination
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"rockrun/internal/bookkeeping"
+	"rockrun/internal/config"
+	"rockrun/internal/protocol"
+)
+
+// pool is a kind of machine in a zone, spot or ordinary.
+type pool struct {
+	typ, zone int
+	spot      bool
+}
+
+// demand is a number of equal tasks of one home that wait for a machine.
+type demand struct {
+	job   *bookkeeping.Job
+	shard int
+	count int
+}
+
+// supply is a machine as the sizer counts it: what it will offer to new work.
+type supply struct {
+	m       *bookkeeping.Machine
+	typ     int
+	zone    int
+	spot    bool
+	shard   int
+	free    room
+	tasks   int
+	service bool
+	ready   bool // up and under its holder's grant
+	taking  bool // may take new tasks
+}
+
+// rent is a decision to rent machines.
+type rent struct {
+	pool
+	shard int
+	count int
+}
+
+// sizing is all that the sizer's decision depends on.
+type sizing struct {
+	types   []protocol.MachineType
+	zones   func(name string) int
+	refused func(p pool) bool
+	fits    func(j *bookkeeping.Job, typ int) bool
+	demands []demand // in the order in which they are served
+	supply  []*supply
+	max     int // machines that may still be rented
+	calls   int
+}
+
+// unmet fills the supply with the demand and returns what is left over. Booting
+// machines count as supply.
+func (s *sizing) unmet() []demand {
+	var left []demand
+	for _, d := range s.demands {
+		for _, x := range s.supply {
+			for d.count > 0 && x.taking && x.shard == d.shard && s.takes(x, d.job) {
+				x.free.cpus -= d.job.CPUs
+				x.free.gpus -= d.job.GPUs
+				x.free.memory -= d.job.MemoryGB
+				x.tasks++
+				d.count--
+			}
+		}
+		if d.count > 0 {
+			left = append(left, d)
+		}
+	}
+	return left
+}
+
+func (s *sizing) takes(x *supply, j *bookkeeping.Job) bool {
+	return x.free.fits(j) && (!x.spot || j.Spot) && (j.ZoneIdx < 0 || j.ZoneIdx == x.zone) && s.fits(j, x.typ)
+}
+
+// plan rents the cheapest machines for the unmet demand: for every group of
+// equal tasks the pool in which a task costs least once the machine is filled
+// as far as this demand fills it.
+func (s *sizing) plan(left []demand) []rent {
+	var rents []rent
+	for _, d := range left {
+		for d.count > 0 && s.max > 0 && len(rents) < s.calls {
+			p, per, ok := s.cheapest(d)
+			if !ok {
+				break
+			}
+			count := min((d.count+per-1)/per, s.max, 50)
+			if d.count > per {
+				// Whole machines first; the rest may be cheaper elsewhere.
+				count = min(d.count/per, s.max, 50)
+			}
+			rents = append(rents, rent{p, d.shard, count})
+			s.max -= count
+			d.count -= count * per
+		}
+	}
+	return rents
+}
+
+func (s *sizing) cheapest(d demand) (best pool, per int, ok bool) {
+	bestCost := math.Inf(1)
+	for typ := range s.types {
+		t := &s.types[typ]
+		if !s.fits(d.job, typ) {
+			continue
+		}
+		n := holds(t, d.job)
+		if n < 1 {
+			continue
+		}
+		for _, zone := range t.Zones {
+			z := s.zones(zone)
+			if d.job.ZoneIdx >= 0 && d.job.ZoneIdx != z {
+				continue
+			}
+			for _, spot := range []bool{true, false} {
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				p := pool{typ, z, spot}
+				if spot && !d.job.Spot || s.refused(p) {
+					continue
+				}
+				// A machine far larger than what waits is paid for idle.
+				cost := price / float64(min(n, d.count))
+				if cost < bestCost-1e-9 {
+					best, per, bestCost, ok = p, n, cost, true
+				}
+			}
+		}
+	}
+	return best, per, ok
+}
+
+// holds returns how many tasks of a job a machine of a type has room for.
+func holds(t *protocol.MachineType, j *bookkeeping.Job) int {
+	n := math.Inf(1)
+	for _, q := range [][2]float64{{t.CPUs, j.CPUs}, {t.GPUs, j.GPUs}, {t.MemoryGB, j.MemoryGB}} {
+		if q[1] > 0 {
+			n = min(n, math.Floor(q[0]/q[1]+1e-6))
+		}
+	}
+	if math.IsInf(n, 1) {
+		return 0
+	}
+	return int(n)
+}
+
+// giveBack picks the machine to drain: the least booked one without services.
+func giveBack(list []*supply, types []protocol.MachineType) *supply {
+	var best *supply
+	share := func(x *supply) float64 { return 1 - x.free.cpus/max(types[x.typ].CPUs, 1e-9) }
+	for _, x := range list {
+		if !x.ready || !x.taking || x.service {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(share(x), share(best)), cmp.Compare(x.m.Name, best.m.Name)) < 0 {
+			best = x
+		}
+	}
+	return best
+}
+
+// bookedShare is the booked part of the fleet's CPUs.
+func bookedShare(list []*supply, types []protocol.MachineType) float64 {
+	total, free := 0.0, 0.0
+	for _, x := range list {
+		if x.taking {
+			total += types[x.typ].CPUs
+			free += max(x.free.cpus, 0)
+		}
+	}
+	if total == 0 {
+		return 1
+	}
+	return 1 - free/total
+}
+
+// Decision is one line of the sizer's history.
+type Decision struct {
+	Action  string  `json:"action"`
+	Reason  string  `json:"reason"`
+	Term    uint64  `json:"term"`
+	AtMS    int64   `json:"at_ms"`
+	Blocked int     `json:"blocked_tasks"`
+	Booked  float64 `json:"booked_share"`
+	Fleet   int     `json:"fleet"`
+	Count   int     `json:"count"`
+	Pool    string  `json:"pool,omitempty"`
+}
+
+// demands lists what waits, home by home, in the order in which homes serve it,
+// within the teams' limits.
+func (l *leadership) demands() []demand {
+	n := l.n
+	var list []waiting
+	used := make([]usage, len(n.book.Teams))
+	n.book.Jobs.All(func(_ int, j *bookkeeping.Job) {
+		if j.TeamIdx < 0 {
+			return
+		}
+		used[j.TeamIdx].cpus += j.CPUs * float64(len(j.Intended))
+		used[j.TeamIdx].gpus += j.GPUs * float64(len(j.Intended))
+		if !j.Over() && n.book.Home(j) >= 0 && j.Open() > 0 {
+			list = append(list, waiting{job: j})
+		}
+	})
+	order(list)
+	var out []demand
+	for _, w := range list {
+		j := w.job
+		t, u := &n.book.Teams[j.TeamIdx], &used[j.TeamIdx]
+		count := j.Open()
+		for count > 0 && (over(u.cpus+float64(count)*j.CPUs, t.CPUsMax) || over(u.gpus+float64(count)*j.GPUs, t.GPUsMax)) {
+			count--
+		}
+		if count > 0 {
+			u.cpus += float64(count) * j.CPUs
+			u.gpus += float64(count) * j.GPUs
+			out = append(out, demand{j, n.book.Home(j), count})
+		}
+	}
+	return out
+}
+
+// supplies lists the machines as the sizer counts them.
+func (l *leadership) supplies() []*supply {
+	n := l.n
+	var out []*supply
+	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
+		if m.Version == 0 || m.Phase == bookkeeping.PhaseGone || m.Phase == bookkeeping.PhaseReturning {
+			return
+		}
+		t := &n.book.Types[m.TypeIdx]
+		x := &supply{
+			m: m, typ: m.TypeIdx, zone: m.ZoneIdx, spot: m.Spot, shard: m.Shard,
+			free: room{t.CPUs, t.GPUs, t.MemoryGB}, taking: m.Phase == bookkeeping.PhaseActive,
+		}
+		for ref := range m.Intents {
+			j := n.book.Jobs.Get(ref.Job)
+			x.free.cpus -= j.CPUs
+			x.free.gpus -= j.GPUs
+			x.free.memory -= j.MemoryGB
+			x.tasks++
+			x.service = x.service || j.Kind == protocol.KindService
+		}
+		note, known := l.note(m)
+		x.ready = known && note.Seen
+		if known && (note.Faulty || note.Leaves || note.Seen && note.Silent > l.n.Settings.Cluster.Workers.Report()*3) {
+			x.taking = false
+		}
+		if !x.ready && l.overdue(m) {
+			x.taking = false
+		}
+		out = append(out, x)
+	})
+	slices.SortFunc(out, func(a, b *supply) int { return cmp.Compare(a.m.Name, b.m.Name) })
+	return out
+}
+
+// note is what the holder of a machine last said of it.
+func (l *leadership) note(m *bookkeeping.Machine) (machineInfo, bool) {
+	g := &l.n.book.Grants[m.Shard]
+	p := l.peers[g.Node]
+	if p == nil || p.incarnation != g.Incarnation {
+		return machineInfo{}, false
+	}
+	i, ok := p.notes[m.Name]
+	return i, ok
+}
+
+// age is the time since a machine was rented.
+func (l *leadership) age(m *bookkeeping.Machine) time.Duration {
+	return time.Duration(l.n.Clock.Wall().UnixMilli()-m.AtMS) * time.Millisecond
+}
+
+// overdue reports whether a machine should have come up long ago.
+func (l *leadership) overdue(m *bookkeeping.Machine) bool {
+	boot := l.n.book.Types[m.TypeIdx].BootS
+	return l.age(m).Seconds() > boot*l.n.Options.BootPatience+5
+}
+
+// within is a helper for windows: it keeps since at the time a condition began
+// to hold and reports whether it has held for the window.
+func held(cond bool, since *time.Duration, now, window time.Duration) bool {
+	if !cond {
+		*since = 0
+		return false
+	}
+	if *since == 0 {
+		*since = max(now, 1)
+	}
+	return now-*since >= window
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// bounds keeps the option struct's figures as durations.
+type bounds struct{ cycle, rent, give time.Duration }
+
+func boundsOf(o config.Options) bounds {
+	return bounds{seconds(o.CycleS), seconds(o.RentWindowS), seconds(o.GiveWindowS)}
+}
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,277 @@
+package coordination
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"rockrun/internal/bookkeeping"
+	"rockrun/internal/protocol"
+)
+
+// Answer is what a request over HTTP gets.
+type Answer struct {
+	Status     int
+	Body       any           // nil: none
+	RetryAfter time.Duration // 0: not said
+}
+
+func problem(status int, what string) Answer {
+	return Answer{Status: status, Body: protocol.Problem{Error: what}}
+}
+
+// comeBack asks the user to come back; nothing was decided.
+func comeBack(what string) Answer {
+	return Answer{Status: http.StatusServiceUnavailable, Body: protocol.Problem{Error: what}, RetryAfter: time.Second}
+}
+
+const (
+	maxFinals = 20_000 // final states remembered; the rest are read when asked for
+)
+
+func (n *Node) remember(id string, f bookkeeping.FinalRecord) {
+	if len(n.finals) >= maxFinals {
+		for old := range n.finals {
+			delete(n.finals, old)
+			break
+		}
+	}
+	n.finals[id] = f
+}
+
+// Healthy reports whether the node can take requests.
+func (n *Node) Healthy() bool {
+	return n.ready && !n.stopped && n.now()-n.freshAt < n.authority
+}
+
+// Submit takes a job. It is accepted once its record is durable; the record's
+// key, which must not exist yet, makes a repeat harmless.
+func (n *Node) Submit(body []byte, reply func(Answer)) {
+	spec, err := protocol.ParseSubmission(body)
+	if err != nil {
+		reply(problem(http.StatusBadRequest, err.Error()))
+		return
+	}
+	if !n.ready {
+		reply(comeBack("starting"))
+		return
+	}
+	known := func() {
+		n.lookup(spec.ID, func(v *protocol.View, err error) {
+			switch {
+			case err != nil:
+				reply(comeBack("state service does not answer"))
+			case v == nil:
+				reply(comeBack("undecided"))
+			default:
+				reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: v.ID, Stage: v.Stage}})
+			}
+		})
+	}
+	// A repeat of a known job is answered before anything else is checked: what
+	// was accepted once must not be refused later.
+	if _, j := n.book.Jobs.Find(spec.ID); j != nil && !j.Over() {
+		known()
+		return
+	}
+	if _, over := n.finals[spec.ID]; over {
+		known()
+		return
+	}
+	if n.book.TypesVer == 0 {
+		reply(comeBack("machine types not known yet"))
+		return
+	}
+	if why := n.impossible(spec); why != "" {
+		reply(problem(http.StatusUnprocessableEntity, why))
+		return
+	}
+	rec := bookkeeping.Encode(bookkeeping.JobRecord{Spec: *spec, AtMS: n.Clock.Wall().UnixMilli()})
+	if float64(len(rec)) > n.Settings.Cluster.State.ValueKB*1024-64 {
+		reply(problem(http.StatusBadRequest, "malformed: description too long to be kept"))
+		return
+	}
+	n.budget.force(n.now(), 1)
+	n.State.Txn(protocol.Txn{
+		If:   []protocol.Cond{{Key: bookkeeping.JobKey(spec.ID)}, {Key: bookkeeping.FinalKey(spec.ID)}},
+		Then: []protocol.Op{{Put: bookkeeping.JobKey(spec.ID), Value: rec}},
+	}, func(_ uint64, err error) {
+		switch {
+		case err == nil:
+			reply(Answer{Status: http.StatusCreated, Body: protocol.Receipt{ID: spec.ID, Stage: protocol.StageQueued}})
+		case errors.Is(err, protocol.ErrConflict):
+			known()
+		default:
+			reply(comeBack("state service does not answer"))
+		}
+	})
+}
+
+// impossible tells why a job can never run, or "".
+func (n *Node) impossible(s *protocol.Spec) string {
+	team := n.book.TeamNames.Lookup(s.Team)
+	if team < 0 {
+		return "unknown team"
+	}
+	fits := false
+	for i := range n.book.Types {
+		t := &n.book.Types[i]
+		if t.CPUs <= 0 || s.CPUs > t.CPUs || s.GPUs > t.GPUs || s.MemoryGB > t.MemoryGB {
+			continue
+		}
+		if len(s.Types) > 0 && !contains(s.Types, t.Name) || s.Zone != "" && !contains(t.Zones, s.Zone) {
+			continue
+		}
+		fits = true
+	}
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	t := &n.book.Teams[team]
+	count := 1.0
+	if s.Kind == protocol.KindService {
+		count = float64(s.Tasks)
+	}
+	if over(s.CPUs*count, t.CPUsMax) || over(s.GPUs*count, t.GPUsMax) {
+		return "needs more than the team's limit"
+	}
+	return ""
+}
+
+// over reports whether an amount exceeds a limit; 0 is no limit.
+func over(amount, limit float64) bool { return limit > 0 && amount > limit+1e-6 }
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// lookup finds out what has become of a job by a consistent read; nil without
+// an error means that it was never accepted. An unfinished job's record is read
+// before the final one, because a job moves from the first to the second.
+func (n *Node) lookup(id string, done func(*protocol.View, error)) {
+	if f, ok := n.finals[id]; ok {
+		done(&protocol.View{ID: id, Stage: f.Stage, Done: f.Done}, nil)
+		return
+	}
+	n.State.Get(bookkeeping.JobKey(id), func(it protocol.Item, found bool, err error) {
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		if found {
+			done(n.view(id), nil)
+			return
+		}
+		n.State.Get(bookkeeping.FinalKey(id), func(it protocol.Item, found bool, err error) {
+			if err != nil || !found {
+				done(nil, err)
+				return
+			}
+			f, err := bookkeeping.DecodeFinal(it.Value)
+			if err != nil {
+				done(nil, err)
+				return
+			}
+			n.remember(id, f)
+			done(&protocol.View{ID: id, Stage: f.Stage, Done: f.Done}, nil)
+		})
+	})
+}
+
+// view describes a job known to be unfinished; the counts are for display.
+func (n *Node) view(id string) *protocol.View {
+	v := &protocol.View{ID: id, Stage: protocol.StageQueued}
+	if _, j := n.book.Jobs.Find(id); j != nil && !j.Over() {
+		v.Done = j.DoneN
+		for task := range j.Intended {
+			if !j.Done.Has(task) {
+				v.Running++
+			}
+		}
+		if v.Running > 0 {
+			v.Stage = protocol.StageRunning
+		}
+	}
+	return v
+}
+
+// Status answers a user's question about a job.
+func (n *Node) Status(id string, reply func(Answer)) {
+	if !protocol.ValidJobID(id) {
+		reply(problem(http.StatusNotFound, "no such job"))
+		return
+	}
+	n.lookup(id, func(v *protocol.View, err error) {
+		switch {
+		case err != nil:
+			reply(comeBack("state service does not answer"))
+		case v == nil:
+			reply(problem(http.StatusNotFound, "no such job"))
+		default:
+			reply(Answer{Status: http.StatusOK, Body: v})
+		}
+	})
+}
+
+// Withdraw cancels a job. Removing the record of the unfinished job under its
+// version and writing the final one is a single transaction, as it is for a
+// job that completes, so only one of the two can ever happen.
+func (n *Node) Withdraw(id string, reply func(Answer)) {
+	if !protocol.ValidJobID(id) {
+		reply(problem(http.StatusNotFound, "no such job"))
+		return
+	}
+	n.withdraw(id, 3, reply)
+}
+
+func (n *Node) withdraw(id string, tries int, reply func(Answer)) {
+	if f, ok := n.finals[id]; ok {
+		reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: f.Stage}})
+		return
+	}
+	n.State.Get(bookkeeping.JobKey(id), func(it protocol.Item, found bool, err error) {
+		if err != nil {
+			reply(comeBack("state service does not answer"))
+			return
+		}
+		if !found {
+			n.lookup(id, func(v *protocol.View, err error) {
+				switch {
+				case err != nil:
+					reply(comeBack("state service does not answer"))
+				case v == nil:
+					reply(problem(http.StatusNotFound, "no such job"))
+				case v.Stage != protocol.StageDone && v.Stage != protocol.StageWithdrawn:
+					reply(comeBack("undecided"))
+				default:
+					reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: v.Stage}})
+				}
+			})
+			return
+		}
+		f := bookkeeping.FinalRecord{Stage: protocol.StageWithdrawn}
+		n.budget.force(n.now(), 2)
+		n.State.Txn(protocol.Txn{
+			If: []protocol.Cond{{Key: bookkeeping.JobKey(id), Version: it.Version}},
+			Then: []protocol.Op{
+				{Delete: bookkeeping.JobKey(id)},
+				{Put: bookkeeping.FinalKey(id), Value: bookkeeping.Encode(f)},
+			},
+		}, func(_ uint64, err error) {
+			switch {
+			case err == nil:
+				n.remember(id, f)
+				reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: f.Stage}})
+			case errors.Is(err, protocol.ErrConflict) && tries > 1:
+				n.withdraw(id, tries-1, reply)
+			default:
+				reply(comeBack("state service does not answer"))
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/protocol/cloud.go
@@ -0,0 +1,214 @@
+package protocol
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// Stages of a machine in the cloud's list.
+const (
+	MachineBooting = "booting"
+	MachineRunning = "running"
+	MachineFailed  = "failed"
+)
+
+// MachineType is a kind of machine the cloud rents out.
+type MachineType struct {
+	Name      string   `json:"name"`
+	CPUs      float64  `json:"vcpus"`
+	GPUs      float64  `json:"gpus"`
+	MemoryGB  float64  `json:"ramGb"`
+	CacheGB   float64  `json:"cacheGb"`
+	FetchGBPS float64  `json:"fetchGbPerS"`
+	Price     float64  `json:"hourly"`
+	SpotPrice float64  `json:"marketPrice"`
+	BootS     float64  `json:"bootS"`
+	Zones     []string `json:"yards"`
+}
+
+// Catalogue is the cloud's answer to what it rents.
+type Catalogue struct {
+	Types []MachineType `json:"builds"`
+}
+
+// Rent asks for machines. Request names it for ever: repeating it is harmless.
+type Rent struct {
+	Request string `json:"ask"`
+	Type    string `json:"build"`
+	Zone    string `json:"yard"`
+	Spot    bool   `json:"loaner"`
+	Count   int    `json:"count"`
+}
+
+// CloudMachine is a machine in the cloud's list.
+type CloudMachine struct {
+	Name    string  `json:"id"`
+	Address string  `json:"address"`
+	Type    string  `json:"build"`
+	Zone    string  `json:"yard"`
+	Spot    bool    `json:"loaner"`
+	Stage   string  `json:"stage"`
+	AgeS    float64 `json:"ageS"`
+}
+
+// Errors that tell what is known about a call.
+var (
+	// ErrNotDone: the call was certainly not carried out.
+	ErrNotDone = errors.New("refused, not carried out")
+	// ErrUnknown: the call may have been carried out, or may yet be.
+	ErrUnknown = errors.New("no answer, outcome unknown")
+	// ErrNoCapacity: the cloud has no such machines now.
+	ErrNoCapacity = errors.New("no capacity")
+)
+
+// Caller makes one HTTP request and gives up at the timeout. Its errors mean
+// that no answer came.
+type Caller interface {
+	Call(method, addr, path string, body []byte, timeout time.Duration) (status int, answer []byte, err error)
+}
+
+// CloudClient speaks to the cloud's API.
+type CloudClient struct {
+	HTTP    Caller
+	Addr    string
+	Timeout time.Duration
+}
+
+func callJSON(c Caller, method, addr, path string, in, out any, timeout time.Duration) (int, []byte, error) {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return 0, nil, fmt.Errorf("encode %s: %w", path, err)
+		}
+	}
+	status, answer, err := c.Call(method, addr, path, body, timeout)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %s %s: %v", ErrUnknown, method, path, err)
+	}
+	if status == http.StatusOK && out != nil {
+		if err := json.Unmarshal(answer, out); err != nil {
+			return status, answer, fmt.Errorf("%w: %s %s: %v", ErrUnknown, method, path, err)
+		}
+	}
+	return status, answer, nil
+}
+
+func refused(what string, status int, answer []byte) error {
+	if len(answer) > 200 {
+		answer = answer[:200]
+	}
+	return fmt.Errorf("%w: %s: status %d: %s", ErrNotDone, what, status, answer)
+}
+
+// Catalogue reads the machine types and their current prices.
+func (c *CloudClient) Catalogue() (Catalogue, error) {
+	var out Catalogue
+	status, answer, err := callJSON(c.HTTP, http.MethodGet, c.Addr, "/flavors", nil, &out, c.Timeout)
+	if err == nil && status != http.StatusOK {
+		err = refused("machine types", status, answer)
+	}
+	return out, err
+}
+
+// Rent rents machines and returns their names.
+func (c *CloudClient) Rent(r Rent) ([]string, error) {
+	var out struct {
+		Machines []string `json:"hosts"`
+	}
+	status, answer, err := callJSON(c.HTTP, http.MethodPost, c.Addr, "/hosts", r, &out, c.Timeout)
+	if err != nil {
+		return nil, err
+	}
+	if status == http.StatusOK {
+		return out.Machines, nil
+	}
+	var p Problem
+	if status == http.StatusServiceUnavailable && json.Unmarshal(answer, &p) == nil && p.Error == "no capacity" {
+		return nil, ErrNoCapacity
+	}
+	return nil, refused("rent", status, answer)
+}
+
+// Delete gives machines back. No error means that they are gone.
+func (c *CloudClient) Delete(names []string) error {
+	in := struct {
+		Machines []string `json:"hosts"`
+	}{names}
+	status, answer, err := callJSON(c.HTTP, http.MethodPost, c.Addr, "/hosts/delete", in, nil, c.Timeout)
+	if err == nil && status != http.StatusOK {
+		err = refused("delete", status, answer)
+	}
+	return err
+}
+
+// List reads all machines, page by page.
+func (c *CloudClient) List() ([]CloudMachine, error) {
+	var all []CloudMachine
+	after := ""
+	for {
+		var page struct {
+			Machines []CloudMachine `json:"hosts"`
+			More     bool           `json:"more"`
+		}
+		path := "/hosts?most=500"
+		if after != "" {
+			path += "&from=" + url.QueryEscape(after)
+		}
+		status, answer, err := callJSON(c.HTTP, http.MethodGet, c.Addr, path, nil, &page, c.Timeout)
+		if err != nil {
+			return nil, err
+		}
+		if status != http.StatusOK {
+			return nil, refused("list machines", status, answer)
+		}
+		all = append(all, page.Machines...)
+		if !page.More || len(page.Machines) == 0 {
+			return all, nil
+		}
+		after = page.Machines[len(page.Machines)-1].Name
+	}
+}
+
+// WorkerClient sends commands straight to workers.
+type WorkerClient struct {
+	HTTP    Caller
+	Timeout time.Duration
+}
+
+// Command carries out orders at once. With no error the report tells what is
+// on the machine; done is false when the worker refused the orders.
+func (c *WorkerClient) Command(addr string, o DirectOrders) (r *Report, done bool, err error) {
+	if o.Commands == nil {
+		o.Commands = []Command{}
+	}
+	body, err := json.Marshal(o)
+	if err != nil {
+		return nil, false, fmt.Errorf("encode commands: %w", err)
+	}
+	status, answer, err := c.HTTP.Call(http.MethodPost, addr, "/commands", body, c.Timeout)
+	if err != nil {
+		return nil, false, fmt.Errorf("%w: commands to %s: %v", ErrUnknown, addr, err)
+	}
+	if status != http.StatusOK && status != http.StatusConflict {
+		return nil, false, refused("commands", status, answer)
+	}
+	r, err = ParseReport(answer)
+	return r, status == http.StatusOK, err
+}
+
+// Inspect asks a worker for its report.
+func (c *WorkerClient) Inspect(addr string) (*Report, error) {
+	status, answer, err := c.HTTP.Call(http.MethodGet, addr, "/inspect", nil, c.Timeout)
+	if err != nil {
+		return nil, fmt.Errorf("%w: inspect %s: %v", ErrUnknown, addr, err)
+	}
+	if status != http.StatusOK {
+		return nil, refused("inspect", status, answer)
+	}
+	return ParseReport(answer)
+}
--- /dev/null
+++ b/internal/protocol/peer.go
@@ -0,0 +1,61 @@
+package protocol
+
+import "time"
+
+// Ping is what a controller tells the leader about itself, about once a second
+// and whenever something the leader waits for has changed.
+type Ping struct {
+	Node        string
+	Incarnation uint64
+	SentAt      time.Duration // sender's own clock, handed back in the Pong
+	Term        uint64        // term the sender believes in
+	FreshFor    time.Duration // how old the sender's knowledge of the state service is
+	Machines    []MachineNote // machines it holds
+	Strangers   []Report      // machines that reported to it and that no record names
+	Handed      []HandedNote  // machines of others that keep turning up here
+}
+
+// MachineNote is a holder's view of one machine.
+type MachineNote struct {
+	Name   string
+	Seen   bool          // has reported under the current grant
+	Silent time.Duration // since the last report, or since the grant
+	Faulty bool
+	Leaves bool // the cloud will take it
+}
+
+// HandedNote counts the reports a controller had to send away.
+type HandedNote struct {
+	Shard   int
+	Machine string
+}
+
+// Pong is the leader's answer: the sender's grants hold for another block
+// lease, counted from when the Ping was sent.
+type Pong struct {
+	Leader bool // false: not the leader, nothing is confirmed
+	Term   uint64
+	SentAt time.Duration
+	Shards []int // shards confirmed
+}
+
+// Relay hands a worker's report to the controller that holds the machine.
+type Relay struct{ Report Report }
+
+// RelayAnswer is the holder's answer to a relayed report.
+type RelayAnswer struct {
+	OK     bool
+	Orders Orders
+}
+
+// PeerRequest is one message on the link between controllers; one field is set.
+type PeerRequest struct {
+	Ping  *Ping
+	Relay *Relay
+}
+
+// PeerAnswer answers a PeerRequest.
+type PeerAnswer struct {
+	Pong  *Pong
+	Relay *RelayAnswer
+}
--- /dev/null
+++ b/internal/protocol/state.go
@@ -0,0 +1,187 @@
+package protocol
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// ErrConflict: a condition of a transaction did not hold; nothing was changed.
+var ErrConflict = errors.New("condition not met")
+
+// ErrNoLease: the lease has ended.
+var ErrNoLease = errors.New("no such lease")
+
+// ErrTooOld: the changes asked for are no longer kept; read the keys again.
+var ErrTooOld = errors.New("changes no longer kept")
+
+// Item is a key with its value.
+type Item struct {
+	Key     string          `json:"k"`
+	Value   json.RawMessage `json:"data"`
+	Version uint64          `json:"stamp"`
+	Lease   uint64          `json:"permit,omitempty"`
+}
+
+// Page is a part of a range of keys.
+type Page struct {
+	Items    []Item `json:"items"`
+	More     bool   `json:"more"`
+	Revision uint64 `json:"epoch"`
+}
+
+// Cond demands that a key has a version; 0 demands that it does not exist.
+type Cond struct {
+	Key     string `json:"k"`
+	Version uint64 `json:"stamp"`
+}
+
+// Op is one change: either Put with Value, or Delete.
+type Op struct {
+	Put    string          `json:"put,omitempty"`
+	Value  json.RawMessage `json:"data,omitempty"`
+	Lease  uint64          `json:"permit,omitempty"`
+	Delete string          `json:"remove,omitempty"`
+}
+
+// Txn is an atomic transaction.
+type Txn struct {
+	If   []Cond `json:"when"`
+	Then []Op   `json:"apply,omitempty"`
+}
+
+// Event is a change to a key: a put, or a removal.
+type Event struct {
+	Put     string          `json:"put,omitempty"`
+	Remove  string          `json:"remove,omitempty"`
+	Value   json.RawMessage `json:"data,omitempty"`
+	Version uint64          `json:"stamp"`
+}
+
+// Changes are the events after a revision.
+type Changes struct {
+	Revision uint64  `json:"epoch"`
+	Events   []Event `json:"events"`
+}
+
+// StateClient speaks to the state service. Every error wraps one of ErrNotDone,
+// ErrUnknown, ErrConflict, ErrNoLease or ErrTooOld.
+type StateClient struct {
+	HTTP    Caller
+	Addr    string
+	Timeout time.Duration
+}
+
+// Get reads one key; found is false when it does not exist.
+func (c *StateClient) Get(key string) (it Item, found bool, err error) {
+	status, answer, err := callJSON(c.HTTP, http.MethodGet, c.Addr, "/store/"+key, nil, &it, c.Timeout)
+	switch {
+	case err != nil:
+		return it, false, err
+	case status == http.StatusOK:
+		return it, true, nil
+	case status == http.StatusNotFound:
+		return it, false, nil
+	}
+	return it, false, refused("get", status, answer)
+}
+
+// List reads a page of keys with a prefix, beginning after the key given.
+func (c *StateClient) List(prefix, after string) (Page, error) {
+	var p Page
+	path := "/store?prefix=" + url.QueryEscape(prefix) + "&most=1000"
+	if after != "" {
+		path += "&from=" + url.QueryEscape(after)
+	}
+	status, answer, err := callJSON(c.HTTP, http.MethodGet, c.Addr, path, nil, &p, c.Timeout)
+	if err == nil && status != http.StatusOK {
+		err = refused("list", status, answer)
+	}
+	return p, err
+}
+
+// Txn carries out a transaction and returns its revision.
+func (c *StateClient) Txn(t Txn) (uint64, error) {
+	if t.If == nil {
+		t.If = []Cond{}
+	}
+	var out struct {
+		Revision uint64 `json:"epoch"`
+	}
+	status, answer, err := callJSON(c.HTTP, http.MethodPost, c.Addr, "/multi", t, &out, c.Timeout)
+	switch {
+	case err != nil:
+		return 0, err
+	case status == http.StatusOK:
+		return out.Revision, nil
+	case status == http.StatusConflict:
+		return 0, fmt.Errorf("%w: %s", ErrConflict, answer)
+	case status == http.StatusBadRequest:
+		var p Problem
+		if json.Unmarshal(answer, &p) == nil && p.Error == "no such lease" {
+			return 0, ErrNoLease
+		}
+	}
+	return 0, refused("transaction", status, answer)
+}
+
+// NewLease opens a lease.
+func (c *StateClient) NewLease(ttl time.Duration) (uint64, error) {
+	in := struct {
+		TTL int64 `json:"lifeMs"`
+	}{ttl.Milliseconds()}
+	var out struct {
+		Lease uint64 `json:"permit"`
+	}
+	status, answer, err := callJSON(c.HTTP, http.MethodPost, c.Addr, "/holds", in, &out, c.Timeout)
+	if err == nil && status != http.StatusOK {
+		err = refused("new lease", status, answer)
+	}
+	return out.Lease, err
+}
+
+func leasePath(lease uint64) string { return "/holds/" + strconv.FormatUint(lease, 10) }
+
+// Renew renews a lease.
+func (c *StateClient) Renew(lease uint64) error {
+	status, answer, err := callJSON(c.HTTP, http.MethodPost, c.Addr, leasePath(lease)+"/touch", nil, nil, c.Timeout)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusOK || status == http.StatusNoContent:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNoLease
+	}
+	return refused("renew lease", status, answer)
+}
+
+// EndLease ends a lease and with it the keys attached to it.
+func (c *StateClient) EndLease(lease uint64) error {
+	status, answer, err := callJSON(c.HTTP, http.MethodDelete, c.Addr, leasePath(lease), nil, nil, c.Timeout)
+	if err == nil && status >= 300 && status != http.StatusNotFound {
+		err = refused("end lease", status, answer)
+	}
+	return err
+}
+
+// Follow waits for changes after a revision.
+func (c *StateClient) Follow(prefix string, after uint64, wait time.Duration) (Changes, error) {
+	var out Changes
+	path := "/follow?prefix=" + url.QueryEscape(prefix) + "&from=" + strconv.FormatUint(after, 10) +
+		"&blockMs=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	status, answer, err := callJSON(c.HTTP, http.MethodGet, c.Addr, path, nil, &out, wait+c.Timeout)
+	switch {
+	case err != nil:
+		return out, err
+	case status == http.StatusOK:
+		return out, nil
+	case status == http.StatusGone:
+		return out, ErrTooOld
+	}
+	return out, refused("follow", status, answer)
+}
--- /dev/null
+++ b/internal/protocol/users_test.go
@@ -0,0 +1,103 @@
+package protocol
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+)
+
+// valid is a complete submission, as a map so that cases can change a field.
+func valid() map[string]any {
+	return map[string]any{
+		"id": "run-000412", "lane": "train", "crew": "vision", "shape": "sweep", "rank": "urgent", "pieces": 16,
+		"vcpus": 8.0, "gpus": 1.0, "ramGb": 64.0, "bundle": "img-07", "sizeGb": 6.2,
+		"builds": []string{"g8"}, "yard": nil, "together": true, "spread": false, "loaner": true,
+		"guessS": 240.0, "markS": 30.0, "stashS": 4.0, "dueS": 900.0,
+	}
+}
+
+func TestParseSubmission(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(m map[string]any)
+		ok     bool
+	}{
+		{"as it is", func(map[string]any) {}, true},
+		{"unknown field", func(m map[string]any) { m["new"] = 1 }, true},
+		{"nullable fields left out", func(m map[string]any) { delete(m, "yard"); delete(m, "builds"); delete(m, "dueS") }, true},
+		{"nullable fields null", func(m map[string]any) { m["yard"], m["builds"], m["dueS"] = nil, nil, nil }, true},
+		{"most tasks", func(m map[string]any) { m["pieces"] = 100000 }, true},
+		{"too many tasks", func(m map[string]any) { m["pieces"] = 100001 }, false},
+		{"no tasks", func(m map[string]any) { m["pieces"] = 0 }, false},
+		{"half a task", func(m map[string]any) { m["pieces"] = 1.5 }, false},
+		{"no id", func(m map[string]any) { delete(m, "id") }, false},
+		{"other id", func(m map[string]any) { m["id"] = "job 7" }, false},
+		{"unknown kind", func(m map[string]any) { m["shape"] = "circle" }, false},
+		{"unknown priority", func(m map[string]any) { m["rank"] = "top" }, false},
+		{"negative amount", func(m map[string]any) { m["ramGb"] = -1 }, false},
+		{"text for a number", func(m map[string]any) { m["vcpus"] = "8" }, false},
+		{"missing flag", func(m map[string]any) { delete(m, "spread") }, false},
+		{"null where none may be", func(m map[string]any) { m["guessS"] = nil }, false},
+		{"empty list of types", func(m map[string]any) { m["builds"] = []string{} }, false},
+		{"nothing wanted", func(m map[string]any) { m["vcpus"], m["gpus"], m["ramGb"] = 0, 0, 0 }, false},
+		{"very long name", func(m map[string]any) { m["crew"] = strings.Repeat("x", 201) }, false},
+		{"body too large", func(m map[string]any) { m["pad"] = strings.Repeat("x", MaxBody) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := valid()
+			c.change(m)
+			body, err := json.Marshal(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s, err := ParseSubmission(body)
+			if c.ok != (err == nil) {
+				t.Fatalf("error %v", err)
+			}
+			if err != nil && !errors.Is(err, ErrMalformed) {
+				t.Errorf("%v does not wrap ErrMalformed", err)
+			}
+			if err == nil && (s.ID != "run-000412" || s.CPUs != 8 || !s.Spot || s.SaveS != 4) {
+				t.Errorf("read as %+v", s)
+			}
+		})
+	}
+	for _, body := range []string{"", "null", "[]", "7", `"x"`, "{", `{"id":}`} {
+		if _, err := ParseSubmission([]byte(body)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%q: error %v", body, err)
+		}
+	}
+}
+
+func TestReports(t *testing.T) {
+	if _, err := ParseReport([]byte(`{"host":"m-1","shift":1,"tick":3,"pieces":null}`)); err != nil {
+		t.Error(err)
+	}
+	for _, body := range []string{"", "{}", `{"host":"m 1","shift":1}`, `{"host":"m-1"}`, `{"host":"m-1","shift":-1}`} {
+		if _, err := ParseReport([]byte(body)); err == nil {
+			t.Errorf("%q was taken for a report", body)
+		}
+	}
+	r := Report{Session: 2, Seq: 5}
+	for _, c := range []struct {
+		session, seq uint64
+		newer        bool
+	}{{2, 4, true}, {2, 5, false}, {2, 6, false}, {1, 99, true}, {3, 0, false}} {
+		if r.Newer(c.session, c.seq) != c.newer {
+			t.Errorf("newer than %d, %d: %v", c.session, c.seq, !c.newer)
+		}
+	}
+}
+
+func TestTaskNames(t *testing.T) {
+	if job, task, err := SplitTask(TaskName("run-000412", 3)); err != nil || job != "run-000412" || task != 3 {
+		t.Errorf("%s %d %v", job, task, err)
+	}
+	for _, name := range []string{"", "run-1", "run-1/", "run-1/x", "run-1/-1", "x/1", "run-1/100000"} {
+		if _, _, err := SplitTask(name); err == nil {
+			t.Errorf("%q was taken for a task", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,179 @@
+package transport
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"rockrun/internal/coordination"
+	"rockrun/internal/protocol"
+)
+
+// answerTime is how long a request may wait for the node: users wait 5 s at
+// most, workers 4 s.
+const answerTime = 3500 * time.Millisecond
+
+// Server is the HTTP interface for users, workers and operators.
+type Server struct {
+	app     *fiber.App
+	loop    *Loop
+	node    *coordination.Node
+	limiter *Limiter
+	metrics *Metrics
+}
+
+// NewServer makes the interface of a node.
+func NewServer(loop *Loop, node *coordination.Node, limiter *Limiter, metrics *Metrics, sockets int) *Server {
+	s := &Server{loop: loop, node: node, limiter: limiter, metrics: metrics}
+	s.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		BodyLimit:             4 * protocol.MaxBody,
+		Concurrency:           sockets,
+		ReadTimeout:           75 * time.Second,
+		WriteTimeout:          10 * time.Second,
+		IdleTimeout:           75 * time.Second,
+		ReadBufferSize:        8192,
+		ErrorHandler: func(c *fiber.Ctx, err error) error {
+			status := http.StatusInternalServerError
+			var e *fiber.Error
+			if errors.As(err, &e) {
+				status = e.Code
+			}
+			if status == http.StatusRequestEntityTooLarge {
+				status = http.StatusBadRequest
+			}
+			return send(c, coordination.Answer{Status: status, Body: protocol.Problem{Error: http.StatusText(status)}})
+		},
+	})
+	s.app.Post("/hello", s.hello)
+	s.app.Get("/healthz", s.healthz)
+	s.app.Post("/submissions", s.limited(classSubmit, func(c *fiber.Ctx, reply func(coordination.Answer)) {
+		body := append([]byte(nil), c.Body()...)
+		s.post(reply, func() { node.Submit(body, reply) })
+	}))
+	s.app.Get("/submissions/:id", s.limited(classStatus, func(c *fiber.Ctx, reply func(coordination.Answer)) {
+		id := string(append([]byte(nil), c.Params("id")...))
+		s.post(reply, func() { node.Status(id, reply) })
+	}))
+	s.app.Post("/submissions/:id/withdraw", s.limited(classWithdraw, func(c *fiber.Ctx, reply func(coordination.Answer)) {
+		id := string(append([]byte(nil), c.Params("id")...))
+		s.post(reply, func() { node.Withdraw(id, reply) })
+	}))
+	s.app.Get("/autoscaler/status", s.operator(func(n *coordination.Node) any { st, _ := n.Autoscaler(); return st }))
+	s.app.Get("/autoscaler/history", s.operator(func(n *coordination.Node) any { _, h := n.Autoscaler(); return h }))
+	s.app.Get("/metrics", s.metrics.serve)
+	return s
+}
+
+// Serve answers requests until the listener is closed.
+func (s *Server) Serve(ln net.Listener) error { return s.app.Listener(ln) }
+
+// Shutdown finishes the requests under way.
+func (s *Server) Shutdown(wait time.Duration) error { return s.app.ShutdownWithTimeout(wait) }
+
+// post hands a request to the node, or tells the sender to come back when the
+// node's queue is full.
+func (s *Server) post(reply func(coordination.Answer), f func()) {
+	if !s.loop.TryPost(f) {
+		reply(busy())
+	}
+}
+
+func busy() coordination.Answer {
+	return coordination.Answer{Status: http.StatusServiceUnavailable, Body: protocol.Problem{Error: "busy"}, RetryAfter: 2 * time.Second}
+}
+
+// wait runs a request and waits for its answer.
+func wait(run func(reply func(coordination.Answer))) coordination.Answer {
+	got := make(chan coordination.Answer, 1)
+	run(func(a coordination.Answer) {
+		select {
+		case got <- a:
+		default:
+		}
+	})
+	timer := time.NewTimer(answerTime)
+	defer timer.Stop()
+	select {
+	case a := <-got:
+		return a
+	case <-timer.C:
+		return busy()
+	}
+}
+
+func send(c *fiber.Ctx, a coordination.Answer) error {
+	if a.RetryAfter > 0 {
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
+	}
+	c.Status(a.Status)
+	if a.Body == nil {
+		return nil
+	}
+	data, err := json.Marshal(a.Body)
+	if err != nil {
+		return err
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Send(data)
+}
+
+// limited puts the adaptive limit before a user's request.
+func (s *Server) limited(class class, run func(*fiber.Ctx, func(coordination.Answer))) fiber.Handler {
+	return func(c *fiber.Ctx) error {
+		release, ok := s.limiter.acquire(class)
+		if !ok {
+			s.metrics.shed.WithLabelValues(class.String()).Inc()
+			return send(c, coordination.Answer{
+				Status: http.StatusTooManyRequests, Body: protocol.Problem{Error: "too many requests in progress"}, RetryAfter: time.Second,
+			})
+		}
+		began := time.Now()
+		a := wait(func(reply func(coordination.Answer)) { run(c, reply) })
+		release()
+		s.metrics.requests.WithLabelValues(class.String(), strconv.Itoa(a.Status)).Observe(time.Since(began).Seconds())
+		return send(c, a)
+	}
+}
+
+func (s *Server) hello(c *fiber.Ctx) error {
+	r, err := protocol.ParseReport(c.Body())
+	if err != nil {
+		s.metrics.refused.Inc()
+		return send(c, coordination.Answer{Status: http.StatusBadRequest, Body: protocol.Problem{Error: err.Error()}})
+	}
+	began := time.Now()
+	a := wait(func(reply func(coordination.Answer)) {
+		s.post(reply, func() { s.node.OnReport(r, reply) })
+	})
+	s.metrics.requests.WithLabelValues("report", strconv.Itoa(a.Status)).Observe(time.Since(began).Seconds())
+	return send(c, a)
+}
+
+func (s *Server) healthz(c *fiber.Ctx) error {
+	a := wait(func(reply func(coordination.Answer)) {
+		s.post(reply, func() {
+			if s.node.Healthy() {
+				reply(coordination.Answer{Status: http.StatusOK})
+			} else {
+				reply(coordination.Answer{Status: http.StatusServiceUnavailable, RetryAfter: time.Second})
+			}
+		})
+	})
+	return send(c, a)
+}
+
+// operator answers from the node's own view.
+func (s *Server) operator(view func(*coordination.Node) any) fiber.Handler {
+	return func(c *fiber.Ctx) error {
+		return send(c, wait(func(reply func(coordination.Answer)) {
+			s.post(reply, func() { reply(coordination.Answer{Status: http.StatusOK, Body: view(s.node)}) })
+		}))
+	}
+}
