--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -182,8 +182,8 @@
 	positive("cluster.workers.report_s", w.ReportS)
 	positive("cluster.workers.lease_s", w.LeaseS)
 	positive("cluster.workers.cancel_s", w.CancelS)
-	if w.CancelS > 0 && w.CancelS <= w.LeaseS+2*Margin.Seconds() {
-		fault("cluster.workers.cancel_s", "must exceed lease_s by more than 10 s")
+	if w.CancelS > 0 && w.CancelS <= w.LeaseS {
+		fault("cluster.workers.cancel_s", "must exceed lease_s")
 	}
 	positive("cluster.state.rps", s.Cluster.State.RPS)
 	positive("cluster.state.write_rps", s.Cluster.State.WriteRPS)
@@ -198,14 +198,14 @@
 	return errors.Join(faults...)
 }
 
-// Margin is what the time budgets of leases leave for an answer on its way
-// (a worker drops answers after 4 s) and for drifting clocks.
+// Margin is what the time budgets of leases leave at most for answers on their
+// way (a worker drops answers after 4 s) and for slow processes.
 const Margin = 5 * time.Second
 
 // Authority is how old a holder's knowledge of withdrawals may be while it
 // still renews workers' leases: a withdrawal it has not heard of must reach
 // the end of the worker's lease within the time for cancelling.
 func (w Workers) Authority() time.Duration {
-	a := w.Cancel() - w.Lease() - w.Lease()/1000 - Margin
-	return min(a, w.Lease())
+	spare := w.Cancel() - w.Lease()
+	return min(spare-min(Margin, spare/4)-w.Lease()/1000, w.Lease())
 }
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -36,9 +36,7 @@
 		n.lead.touch(now)
 		return
 	}
-	vacant := n.book.LeaderVer == 0 ||
-		n.book.Leader.Node == n.Settings.Node && n.book.Leader.Incarnation != n.incarnation
-	if !vacant {
+	if !n.vacant() {
 		n.candidateAt = 0
 		return
 	}
@@ -54,6 +52,12 @@
 	}
 }
 
+// vacant reports whether nobody leads, or a former incarnation of this node.
+func (n *Node) vacant() bool {
+	return n.book.LeaderVer == 0 ||
+		n.book.Leader.Node == n.Settings.Node && n.book.Leader.Incarnation != n.incarnation
+}
+
 // stand opens a lease and tries to take the leader's key and the next term in
 // one transaction. Winning shows when the record comes back with the changes.
 func (n *Node) stand() {
@@ -72,6 +76,12 @@
 			n.later(n.jitter(retryPause), over)
 			return
 		}
+		if !n.vacant() {
+			// Another has won while the lease was being opened; conditions on
+			// the record now in the book would depose it.
+			n.State.EndLease(lease, func(error) { over() })
+			return
+		}
 		n.claims[lease] = true
 		term := n.book.Term + 1
 		rec := bookkeeping.LeaderRecord{Node: n.Settings.Node, Incarnation: n.incarnation, Term: term, Lease: lease}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -15,7 +15,7 @@
 
 const (
 	taskPlanned  taskState = iota // decided here; the start may have been sent
-	taskFetching                  // seen waiting for its image
+	taskFetching                  // seen waiting for its image or its gang
 	taskRunning
 	taskSaving
 	taskEnded // seen ended, outcome being made durable
@@ -108,7 +108,6 @@
 	dirtyAt time.Duration
 	fails   int
 	backoff time.Duration // no starts before
-	waiting time.Duration // since when a task of it has been blocked; 0: none is
 }
 
 func newHolder(n *Node) *holder {
@@ -357,7 +356,7 @@
 			continue
 		}
 		switch t.State {
-		case protocol.TaskFetching:
+		case protocol.TaskFetching, protocol.TaskWaiting:
 			a.state = taskFetching
 		case protocol.TaskRunning:
 			if a.state != taskRunning {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -74,8 +74,6 @@
 		}
 		if h.nextOpen(j, p) >= 0 {
 			list = append(list, waiting{j, p, within})
-		} else {
-			p.waiting = 0
 		}
 	}
 	order(list)
@@ -104,34 +102,74 @@
 	machines := h.sorted()
 	promised := map[*holding]*room{} // room that stops under way will leave
 	for _, w := range list {
+		if w.job.Kind == protocol.KindGang {
+			h.placeGang(machines, w, promised, now)
+			continue
+		}
 		promises, open := 0, max(1, w.job.Tasks-w.prog.doneN-w.job.Refs)
 		for {
 			task := h.nextOpen(w.job, w.prog)
 			if task < 0 {
-				w.prog.waiting = 0
 				break
 			}
 			if !h.underLimit(w.job) {
 				break
 			}
-			x := h.choose(machines, w.job, promised, now)
-			if x == nil {
-				if w.prog.waiting == 0 {
-					w.prog.waiting = now
-				}
-				// Each waiting task is promised room once.
-				if promises++; promises > open || !h.makeRoom(machines, w, promised, now) {
-					break
-				}
+			if x := h.choose(machines, w.job, promised, now); x != nil {
+				h.plan(w.job, task, x, h.nextTry(x), now)
 				continue
 			}
-			h.tries++
-			h.add(&attempt{
-				job: w.job, task: task, on: x, planned: now,
-				try: n.book.Grants[x.shard].Token>>24<<24 | h.tries&(1<<24-1),
-			})
-			n.Log.Debug("place", "job", w.job.ID, "task", task, "machine", x.m.Name)
+			// Each waiting task is promised room once.
+			if promises++; promises > open || !h.makeRoom(machines, w, promised, now) {
+				break
+			}
+		}
+	}
+}
+
+// nextTry returns an attempt number above every earlier one: the grant's token
+// in the high bits, a counter of this holder's in the low ones.
+func (h *holder) nextTry(x *holding) uint64 {
+	h.tries++
+	return h.n.book.Grants[x.shard].Token>>24<<24 | h.tries&(1<<24-1)
+}
+
+// plan makes a new attempt at a task.
+func (h *holder) plan(j *bookkeeping.Job, task int, x *holding, try uint64, now time.Duration) *attempt {
+	a := &attempt{job: j, task: task, on: x, planned: now, try: try}
+	h.add(a)
+	h.n.Log.Debug("place", "job", j.ID, "task", task, "machine", x.m.Name)
+	return a
+}
+
+// placeGang places all open tasks of a gang or none, and only once no attempt
+// of an earlier round is left: a gang that has lost a task starts over.
+func (h *holder) placeGang(machines []*holding, w waiting, promised map[*holding]*room, now time.Duration) {
+	j := w.job
+	for _, x := range machines {
+		for _, a := range x.attempts {
+			if a.job == j && a.live() {
+				return
+			}
+		}
+	}
+	var planned []*attempt
+	var try uint64
+	for task := h.nextOpen(j, w.prog); task >= 0; task = h.nextOpen(j, w.prog) {
+		x := h.choose(machines, j, promised, now)
+		if x == nil || !h.underLimit(j) {
+			for _, a := range planned {
+				h.remove(a)
+			}
+			for left := j.Tasks - w.prog.doneN; x == nil && left > 0 && h.makeRoom(machines, w, promised, now); left-- {
+				h.n.Log.Debug("room for a gang", "job", j.ID, "left", left)
+			}
+			return
+		}
+		if try == 0 {
+			try = h.nextTry(x) // the tasks of a round know each other by it
 		}
+		planned = append(planned, h.plan(j, task, x, try, now))
 	}
 }
 
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -129,7 +129,7 @@
 	}
 	t := &n.book.Teams[team]
 	count := 1.0
-	if s.Kind == protocol.KindService {
+	if s.Kind != protocol.KindArray {
 		count = float64(s.Tasks)
 	}
 	if over(s.CPUs*count, t.CPUsMax) || over(s.GPUs*count, t.GPUsMax) {
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -16,10 +16,11 @@
 	maxName  = 200
 )
 
-// Job kinds.
+// Job kinds. A gang's tasks run together or not at all.
 const (
 	KindArray   = "sweep"
 	KindService = "standing"
+	KindGang    = "gang"
 )
 
 // Priorities in falling order; a Priority's Rank is its index here.
@@ -197,7 +198,7 @@
 	if !ValidJobID(s.ID) {
 		return nil, malformed("id: not of the form run-000412")
 	}
-	if s.Kind != KindArray && s.Kind != KindService {
+	if s.Kind != KindArray && s.Kind != KindService && s.Kind != KindGang {
 		return nil, malformed("shape: unknown")
 	}
 	if s.Rank() == len(priorities) {
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -10,6 +10,7 @@
 // Task states in a worker's report.
 const (
 	TaskFetching = "fetching"
+	TaskWaiting  = "waiting" // has its image, its gang is not complete yet
 	TaskRunning  = "running"
 	TaskSaving   = "saving"
 	TaskEnded    = "ended"
@@ -23,6 +24,8 @@
 	CauseFull    = "full"
 	CauseInUse   = "in_use"
 	CauseNoSuch  = "no_such"
+	CauseMates   = "mates_gone" // another task of the gang ended
+	CauseAlone   = "alone"      // the gang did not come together in time
 )
 
 // Verbs of commands to workers.
