--- /dev/null
+++ b/internal/scenario/checker.go
@@ -0,0 +1,148 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"rockrun/internal/config"
+	"rockrun/internal/protocol"
+)
+
+// checker watches the rules of the protocol. It sees what really runs, not what
+// the controllers believe.
+type checker struct {
+	s        *sim
+	on       map[string][]*worker // where a task is on its machine
+	finished map[string]bool      // tasks that have completed
+	starts   int
+	broken   []string
+}
+
+func newChecker(s *sim) *checker {
+	return &checker{s: s, on: map[string][]*worker{}, finished: map[string]bool{}}
+}
+
+func (c *checker) breach(rule, format string, args ...any) {
+	c.broken = append(c.broken, fmt.Sprintf("%s at %s: %s", rule, c.s.now, fmt.Sprintf(format, args...)))
+}
+
+// began is called when a task has its image and starts.
+func (c *checker) began(w *worker, t *onWorker) {
+	c.starts++
+	if others := c.on[t.Task]; len(others) > 0 {
+		c.breach("ran_twice", "%s starts on %s while on %s", t.Task, w.r.Name, others[0].r.Name)
+	}
+	c.place(w, t)
+	c.on[t.Task] = append(c.on[t.Task], w)
+	if j := c.s.users.jobs[t.spec.ID]; j.withdrawnAt > 0 && c.s.now > j.withdrawnAt+c.s.cluster.Workers.Cancel() {
+		c.breach("ran_cancelled", "%s starts %s after its withdrawal", t.Task, c.s.now-j.withdrawnAt)
+	}
+	cpus := 0.0
+	for _, x := range c.s.workers {
+		for _, o := range x.tasks {
+			if (o == t || o.State == protocol.TaskRunning || o.State == protocol.TaskSaving) && o.spec != nil && o.spec.Team == t.spec.Team {
+				cpus += o.spec.CPUs
+			}
+		}
+	}
+	i := slices.IndexFunc(c.s.cluster.Teams, func(x config.Team) bool { return x.Name == t.spec.Team })
+	if most := c.s.cluster.Teams[i].CPUsMax; most > 0 && cpus > most+1e-6 {
+		c.breach("quota", "team %s uses %v of %v CPUs", t.spec.Team, cpus, most)
+	}
+}
+
+// place checks that a task starts where its job allows.
+func (c *checker) place(w *worker, t *onWorker) {
+	s := t.spec
+	if w.r.Spot && !s.Spot || s.Zone != "" && s.Zone != w.r.Zone || len(s.Types) > 0 && !slices.Contains(s.Types, w.r.Type) {
+		c.breach("wrong_place", "%s on %s", t.Task, w.r.Name)
+	}
+	here, elsewhere := 1, 0
+	for task, workers := range c.on {
+		id, _, err := protocol.SplitTask(task)
+		if err != nil || id != s.ID || task == t.Task {
+			continue
+		}
+		for _, x := range workers {
+			if x.r.Zone == w.r.Zone {
+				here++
+			} else {
+				elsewhere++
+			}
+		}
+	}
+	if s.OneZone && elsewhere > 0 {
+		c.breach("wrong_place", "%s in zone %s, others elsewhere", t.Task, w.r.Zone)
+	}
+	if s.Spread && here > (s.Tasks+1)/2 {
+		c.breach("wrong_place", "%d of %d tasks of %s in zone %s", here, s.Tasks, s.ID, w.r.Zone)
+	}
+}
+
+// left is called when a task is no longer on its machine.
+func (c *checker) left(w *worker, t *onWorker) {
+	c.on[t.Task] = slices.DeleteFunc(c.on[t.Task], func(x *worker) bool { return x == w })
+	if len(c.on[t.Task]) == 0 {
+		delete(c.on, t.Task)
+	}
+}
+
+// told is called with every answer of the service about a job.
+func (c *checker) told(id string, j *userJob, stage string) {
+	if j == nil {
+		c.breach("invented", "%s is %s", id, stage)
+		return
+	}
+	if j.final != "" && stage != j.final {
+		c.breach("went_back", "%s was %s and is %s", id, j.final, stage)
+	}
+	switch stage {
+	case protocol.StageDone:
+		for task := range j.spec.Tasks {
+			if !c.finished[protocol.TaskName(id, task)] {
+				c.breach("not_done", "%s is called done, task %d is not", id, task)
+				break
+			}
+		}
+	case protocol.StageWithdrawn:
+		if !j.asked {
+			c.breach("went_back", "%s is called withdrawn and nobody asked for it", id)
+		}
+		if j.withdrawnAt == 0 {
+			j.withdrawnAt = c.s.now
+			c.s.after(c.s.cluster.Workers.Cancel(), func() { c.gone(id) })
+		}
+	default:
+		return
+	}
+	j.final = stage
+}
+
+// gone checks that a withdrawn job has left every machine.
+func (c *checker) gone(id string) {
+	for task, workers := range c.on {
+		if job, _, err := protocol.SplitTask(task); err == nil && job == id && len(workers) > 0 {
+			c.breach("ran_cancelled", "%s is still on %s", task, workers[0].r.Name)
+		}
+	}
+}
+
+// refused is called with an answer that denies an accepted job.
+func (c *checker) refused(id string, j *userJob, status int) {
+	if j != nil && j.accepted {
+		c.breach("forgotten", "%s is answered %d", id, status)
+	}
+}
+
+// end checks what only the end of the day shows.
+func (c *checker) end() {
+	if c.starts == 0 {
+		c.breach("nothing_ran", "no task was started")
+	}
+	for _, j := range c.s.users.jobs {
+		if j.accepted && j.unheard > 0 && c.s.now-j.unheard > 90*time.Second {
+			c.breach("forgotten", "no poll for %s was answered since %s", j.spec.ID, j.unheard)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenario/sim.go
@@ -0,0 +1,185 @@
+// Package scenario plays scenarios in virtual time: real nodes against stand-ins
+// for the state service, the cloud, the workers and the users, which follow the
+// protocol and can be made to fail. A checker watches every rule.
+//
+// A scenario is a txtar file with a comment and three files: world (what there
+// is), script (what happens when) and expect (what must be true at the end).
+package scenario
+
+import (
+	"container/heap"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"rockrun/internal/config"
+	"rockrun/internal/coordination"
+	"rockrun/internal/protocol"
+)
+
+// event is something that will happen.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// sim is the world.
+type sim struct {
+	now     time.Duration
+	seq     int
+	queue   events
+	rand    *rand.Rand
+	log     *slog.Logger
+	cluster config.Cluster
+	options config.Options
+
+	nodes   []*host
+	store   *store
+	cloud   *cloud
+	workers map[string]*worker
+	users   *users
+	check   *checker
+	echo    float64 // share of direct commands of which a late copy arrives
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newSim(cluster config.Cluster, options config.Options, seed uint64, log io.Writer) *sim {
+	s := &sim{
+		rand: rand.New(rand.NewPCG(seed, 7)), cluster: cluster, options: options, workers: map[string]*worker{},
+		log: slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})),
+	}
+	s.store = newStore(s)
+	s.cloud = &cloud{s: s, asks: map[string][]string{}, capacity: map[poolName]int{}}
+	s.check = newChecker(s)
+	s.users = &users{s: s, jobs: map[string]*userJob{}}
+	return s
+}
+
+func (s *sim) after(d time.Duration, f func()) {
+	s.seq++
+	heap.Push(&s.queue, event{s.now + max(d, 0), s.seq, f})
+}
+
+// run plays until the given time.
+func (s *sim) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = until
+}
+
+// delay is a message's way.
+func (s *sim) delay() time.Duration {
+	return time.Millisecond + time.Duration(s.rand.Int64N(int64(3*time.Millisecond)))
+}
+
+// host is a controller's machine, on which processes come and go.
+type host struct {
+	s         *sim
+	name      string
+	p         *process
+	noState   bool // the state service refuses it
+	noPeers   bool // it can't reach other controllers, nor they it
+	noWorkers bool // it can't reach workers, nor they it
+}
+
+// process is one run of the program.
+type process struct {
+	h    *host
+	node *coordination.Node
+	dead bool
+}
+
+func (h *host) start() {
+	s := h.s
+	p := &process{h: h}
+	set := &config.Settings{Node: h.name, Cluster: s.cluster}
+	for _, o := range s.nodes {
+		if o != h {
+			set.Siblings = append(set.Siblings, config.Sibling{Node: o.name})
+		}
+	}
+	p.node = coordination.New(coordination.Config{
+		Settings: set, Options: s.options, Clock: p, State: stateLink{p}, Cloud: cloudLink{p}, Workers: workerLink{p}, Peers: peerLink{p},
+		Rand: rand.New(rand.NewPCG(s.rand.Uint64(), s.rand.Uint64())),
+		Log:  s.log.With("node", h.name),
+	})
+	h.p = p
+	s.after(0, p.guard(p.node.Start))
+}
+
+func (h *host) crash() {
+	if h.p != nil {
+		h.p.dead = true
+		h.p = nil
+	}
+}
+
+// guard makes f do nothing once the process is dead.
+func (p *process) guard(f func()) func() {
+	return func() {
+		if !p.dead {
+			f()
+		}
+	}
+}
+
+// Now implements coordination.Clock.
+func (p *process) Now() time.Duration { return p.h.s.now }
+
+// Wall implements coordination.Clock.
+func (p *process) Wall() time.Time { return epoch.Add(p.h.s.now) }
+
+// After implements coordination.Clock.
+func (p *process) After(d time.Duration, f func()) { p.h.s.after(d, p.guard(f)) }
+
+// peerLink is the link between controllers.
+type peerLink struct{ p *process }
+
+// Ask implements coordination.Peers.
+func (l peerLink) Ask(node string, r protocol.PeerRequest, done func(protocol.PeerAnswer, error)) {
+	s := l.p.h.s
+	fail := func() {
+		s.after(time.Second, l.p.guard(func() { done(protocol.PeerAnswer{}, protocol.ErrUnknown) }))
+	}
+	for _, h := range s.nodes {
+		if h.name != node {
+			continue
+		}
+		if h.p == nil || h.noPeers || l.p.h.noPeers {
+			break
+		}
+		to := h.p
+		s.after(s.delay(), func() {
+			if to.dead {
+				fail()
+				return
+			}
+			to.node.OnPeer(r, func(a protocol.PeerAnswer) {
+				s.after(s.delay(), l.p.guard(func() { done(a, nil) }))
+			})
+		})
+		return
+	}
+	fail()
+}
--- /dev/null
+++ b/internal/scenario/store.go
@@ -0,0 +1,305 @@
+package scenario
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"rockrun/internal/protocol"
+)
+
+// store is the stand-in for the state service.
+type store struct {
+	s        *sim
+	revision uint64
+	items    map[string]*protocol.Item
+	leases   map[uint64]*lease
+	nextID   uint64
+	history  []change
+	watches  []*watch
+	outage   bool
+	tokens   float64 // writes that may be made now
+	tokensAt time.Duration
+	lose     float64 // share of transactions whose answer is lost
+	late     float64 // share of those that are applied late
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Duration
+}
+
+type change struct {
+	rev uint64
+	ev  protocol.Event
+}
+
+type watch struct {
+	prefix string
+	after  uint64
+	done   func(protocol.Changes)
+	host   *host
+}
+
+func newStore(s *sim) *store {
+	return &store{s: s, items: map[string]*protocol.Item{}, leases: map[uint64]*lease{}, tokens: s.cluster.State.WriteRPS}
+}
+
+// down reports whether a host is refused.
+func (st *store) down(h *host) bool { return st.outage || h.noState }
+
+func (st *store) setOutage(on bool) {
+	st.outage = on
+	if !on {
+		for id, l := range st.leases {
+			st.extend(id, l)
+		}
+		st.wake()
+	}
+}
+
+func (st *store) extend(id uint64, l *lease) {
+	l.end = st.s.now + l.ttl
+	st.s.after(l.ttl+50*time.Millisecond, func() { st.expire(id) })
+}
+
+func (st *store) expire(id uint64) {
+	l := st.leases[id]
+	if l == nil || st.outage || st.s.now < l.end {
+		return
+	}
+	delete(st.leases, id)
+	for _, key := range st.keys("") {
+		if st.items[key].Lease == id {
+			st.revision++
+			delete(st.items, key)
+			st.record(protocol.Event{Remove: key, Version: st.revision})
+		}
+	}
+	st.wake()
+}
+
+func (st *store) keys(prefix string) []string {
+	var keys []string
+	for k := range st.items {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (st *store) record(e protocol.Event) { st.history = append(st.history, change{st.revision, e}) }
+
+// txn carries out a transaction.
+func (st *store) txn(t protocol.Txn) (uint64, error) {
+	if len(t.Then) > st.s.cluster.State.TxnOps {
+		return 0, protocol.ErrNotDone
+	}
+	st.tokens = min(st.s.cluster.State.WriteRPS, st.tokens+st.s.cluster.State.WriteRPS*(st.s.now-st.tokensAt).Seconds())
+	st.tokensAt = st.s.now
+	if st.tokens < float64(len(t.Then)) {
+		return 0, protocol.ErrNotDone
+	}
+	st.tokens -= float64(len(t.Then))
+	for _, c := range t.If {
+		var have uint64
+		if it := st.items[c.Key]; it != nil {
+			have = it.Version
+		}
+		if have != c.Version {
+			return 0, protocol.ErrConflict
+		}
+	}
+	for _, op := range t.Then {
+		if op.Lease != 0 && st.leases[op.Lease] == nil {
+			return 0, protocol.ErrNoLease
+		}
+		if float64(len(op.Value)) > st.s.cluster.State.ValueKB*1024 {
+			return 0, protocol.ErrNotDone
+		}
+	}
+	st.revision++
+	for _, op := range t.Then {
+		if op.Put != "" {
+			st.items[op.Put] = &protocol.Item{Key: op.Put, Value: op.Value, Version: st.revision, Lease: op.Lease}
+			st.record(protocol.Event{Put: op.Put, Value: op.Value, Version: st.revision})
+		} else if st.items[op.Delete] != nil {
+			delete(st.items, op.Delete)
+			st.record(protocol.Event{Remove: op.Delete, Version: st.revision})
+		}
+	}
+	st.wake()
+	return st.revision, nil
+}
+
+// wake answers the watches that have something to tell.
+func (st *store) wake() {
+	if st.outage {
+		return
+	}
+	open := st.watches
+	st.watches = nil
+	for _, w := range open {
+		if w.host.noState {
+			st.watches = append(st.watches, w)
+			continue
+		}
+		if c := st.changes(w.prefix, w.after); len(c.Events) > 0 {
+			w.done(c)
+		} else {
+			st.watches = append(st.watches, w)
+		}
+	}
+}
+
+func (st *store) changes(prefix string, after uint64) protocol.Changes {
+	c := protocol.Changes{Revision: st.revision}
+	first, _ := slices.BinarySearchFunc(st.history, after+1, func(h change, rev uint64) int { return cmp.Compare(h.rev, rev) })
+	for _, h := range st.history[first:] {
+		if strings.HasPrefix(h.ev.Put+h.ev.Remove, prefix) {
+			c.Events = append(c.Events, h.ev)
+		}
+	}
+	return c
+}
+
+// stateLink is a process's way to the state service.
+type stateLink struct{ p *process }
+
+// call makes a request there and back; refused is called when it is not done.
+func (l stateLink) call(do func(st *store) func(), refused func(error)) {
+	s := l.p.h.s
+	s.after(s.delay(), func() {
+		if s.store.down(l.p.h) {
+			s.after(s.delay(), l.p.guard(func() { refused(protocol.ErrNotDone) }))
+			return
+		}
+		if back := do(s.store); back != nil {
+			s.after(s.delay(), l.p.guard(back))
+		}
+	})
+}
+
+// Get implements coordination.State.
+func (l stateLink) Get(key string, done func(protocol.Item, bool, error)) {
+	l.call(func(st *store) func() {
+		it := st.items[key]
+		if it == nil {
+			return func() { done(protocol.Item{}, false, nil) }
+		}
+		c := *it
+		return func() { done(c, true, nil) }
+	}, func(err error) { done(protocol.Item{}, false, err) })
+}
+
+// List implements coordination.State. Pages are small so that paging is used.
+func (l stateLink) List(prefix, after string, done func(protocol.Page, error)) {
+	l.call(func(st *store) func() {
+		p := protocol.Page{Revision: st.revision}
+		for _, k := range st.keys(prefix) {
+			if k <= after {
+				continue
+			}
+			if len(p.Items) == 10 {
+				p.More = true
+				break
+			}
+			p.Items = append(p.Items, *st.items[k])
+		}
+		return func() { done(p, nil) }
+	}, func(err error) { done(protocol.Page{}, err) })
+}
+
+// Txn implements coordination.State.
+func (l stateLink) Txn(t protocol.Txn, done func(uint64, error)) {
+	l.call(func(st *store) func() {
+		s := st.s
+		if s.rand.Float64() < st.lose {
+			if s.rand.Float64() < st.late {
+				s.after(time.Duration(s.rand.Int64N(int64(20*time.Second))), func() {
+					if !st.outage {
+						_, _ = st.txn(t) // whatever comes of it, nobody is told
+					}
+				})
+			} else {
+				_, _ = st.txn(t)
+			}
+			s.after(2*time.Second, l.p.guard(func() { done(0, protocol.ErrUnknown) }))
+			return nil
+		}
+		rev, err := st.txn(t)
+		return func() { done(rev, err) }
+	}, func(err error) { done(0, err) })
+}
+
+// NewLease implements coordination.State.
+func (l stateLink) NewLease(ttl time.Duration, done func(uint64, error)) {
+	l.call(func(st *store) func() {
+		st.nextID++
+		id := st.nextID
+		st.leases[id] = &lease{ttl: ttl}
+		st.extend(id, st.leases[id])
+		return func() { done(id, nil) }
+	}, func(err error) { done(0, err) })
+}
+
+// Renew implements coordination.State.
+func (l stateLink) Renew(id uint64, done func(error)) {
+	l.call(func(st *store) func() {
+		x := st.leases[id]
+		if x == nil {
+			return func() { done(protocol.ErrNoLease) }
+		}
+		st.extend(id, x)
+		return func() { done(nil) }
+	}, done)
+}
+
+// EndLease implements coordination.State.
+func (l stateLink) EndLease(id uint64, done func(error)) {
+	l.call(func(st *store) func() {
+		if x := st.leases[id]; x != nil {
+			x.end = 0
+			st.expire(id)
+		}
+		return func() { done(nil) }
+	}, done)
+}
+
+// Follow implements coordination.State.
+func (l stateLink) Follow(prefix string, after uint64, wait time.Duration, done func(protocol.Changes, error)) {
+	l.call(func(st *store) func() {
+		if c := st.changes(prefix, after); len(c.Events) > 0 || wait == 0 {
+			return func() { done(c, nil) }
+		}
+		s := st.s
+		var w *watch
+		answer := func(c protocol.Changes) {
+			if w == nil {
+				return
+			}
+			w = nil
+			s.after(s.delay(), l.p.guard(func() { done(c, nil) }))
+		}
+		w = &watch{prefix: prefix, after: after, done: answer, host: l.p.h}
+		st.watches = append(st.watches, w)
+		var timeout func()
+		timeout = func() {
+			if w == nil || l.p.dead {
+				return
+			}
+			if st.down(l.p.h) {
+				s.after(time.Second, timeout) // watches wait while it is away
+				return
+			}
+			old := w
+			st.watches = slices.DeleteFunc(st.watches, func(x *watch) bool { return x == old })
+			answer(st.changes(prefix, after))
+		}
+		s.after(wait, timeout)
+		return nil
+	}, func(err error) { done(protocol.Changes{}, err) })
+}
--- /dev/null
+++ b/internal/scenario/users.go
@@ -0,0 +1,161 @@
+package scenario
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"rockrun/internal/coordination"
+	"rockrun/internal/protocol"
+)
+
+// users submit jobs, poll them and withdraw some.
+type users struct {
+	s    *sim
+	jobs map[string]*userJob
+}
+
+type userJob struct {
+	spec        protocol.Spec
+	run         float64 // what a task really takes
+	broken      bool    // fails wherever it runs
+	submitted   time.Duration
+	accepted    bool
+	acceptedAt  time.Duration
+	status      int // last answer to the submission
+	asked       bool
+	withdrawnAt time.Duration
+	final       string
+	finalAt     time.Duration
+	unheard     time.Duration // since when no poll was answered
+	repeats     int
+}
+
+// ask makes a request to some node that is up; answer is called once, with
+// status 0 when no answer came.
+func (u *users) ask(call func(n *coordination.Node, reply func(coordination.Answer)), answer func(coordination.Answer)) {
+	s := u.s
+	var up []*host
+	for _, h := range s.nodes {
+		if h.p != nil {
+			up = append(up, h)
+		}
+	}
+	if len(up) == 0 {
+		s.after(time.Millisecond, func() { answer(coordination.Answer{}) })
+		return
+	}
+	h := up[s.rand.IntN(len(up))]
+	p := h.p
+	told := false
+	once := func(a coordination.Answer) {
+		if !told {
+			told = true
+			answer(a)
+		}
+	}
+	s.after(5*time.Second, func() { once(coordination.Answer{}) })
+	s.after(s.delay(), p.guard(func() {
+		call(p.node, func(a coordination.Answer) { s.after(s.delay(), func() { once(a) }) })
+	}))
+}
+
+func (u *users) body(j *userJob) []byte {
+	m := map[string]any{}
+	data, err := json.Marshal(j.spec)
+	if err == nil {
+		err = json.Unmarshal(data, &m)
+	}
+	if err != nil {
+		panic(err) // the spec is our own
+	}
+	for _, f := range []string{"together", "spread", "loaner"} {
+		if m[f] == nil {
+			m[f] = false
+		}
+	}
+	for _, f := range []string{"guessS", "markS", "stashS"} {
+		if m[f] == nil {
+			m[f] = 0
+		}
+	}
+	if data, err = json.Marshal(m); err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// submit repeats a submission until it is decided, for a minute.
+func (u *users) submit(j *userJob) {
+	s := u.s
+	body := u.body(j)
+	u.ask(func(n *coordination.Node, reply func(coordination.Answer)) { n.Submit(body, reply) }, func(a coordination.Answer) {
+		if a.Status != 0 {
+			j.status = a.Status
+		}
+		switch a.Status {
+		case http.StatusOK, http.StatusCreated:
+			if !j.accepted {
+				j.accepted, j.acceptedAt = true, s.now
+				u.poll(j)
+			}
+			s.check.told(j.spec.ID, j, a.Body.(protocol.Receipt).Stage)
+			if j.repeats > 0 {
+				j.repeats--
+				s.after(time.Duration(s.rand.Int64N(int64(30*time.Second))), func() { u.submit(j) })
+			}
+		case http.StatusBadRequest, http.StatusUnprocessableEntity:
+			s.check.refused(j.spec.ID, j, a.Status)
+		default:
+			if s.now-j.submitted < time.Minute {
+				s.after(max(time.Second, a.RetryAfter), func() { u.submit(j) })
+			}
+		}
+	})
+}
+
+// poll asks about a job every 5 s, and now and then after its end.
+func (u *users) poll(j *userJob) {
+	s := u.s
+	id := j.spec.ID
+	u.ask(func(n *coordination.Node, reply func(coordination.Answer)) { n.Status(id, reply) }, func(a coordination.Answer) {
+		switch a.Status {
+		case http.StatusOK:
+			j.unheard = 0
+			v := a.Body.(*protocol.View)
+			before := j.final
+			s.check.told(id, j, v.Stage)
+			if before == "" && j.final != "" {
+				j.finalAt = s.now
+			}
+		case http.StatusNotFound:
+			s.check.refused(id, j, a.Status)
+		default:
+			if j.unheard == 0 {
+				j.unheard = s.now
+			}
+		}
+		pause := 5 * time.Second
+		if j.final != "" {
+			pause = 40 * time.Second
+		}
+		s.after(pause, func() { u.poll(j) })
+	})
+}
+
+// withdraw repeats a withdrawal until it is answered.
+func (u *users) withdraw(j *userJob) {
+	s := u.s
+	j.asked = true
+	id := j.spec.ID
+	u.ask(func(n *coordination.Node, reply func(coordination.Answer)) { n.Withdraw(id, reply) }, func(a coordination.Answer) {
+		switch a.Status {
+		case http.StatusOK:
+			s.check.told(id, j, a.Body.(protocol.Receipt).Stage)
+		case http.StatusNotFound:
+			s.check.refused(id, j, a.Status)
+		default:
+			s.after(time.Second, func() { u.withdraw(j) })
+		}
+	})
+}
--- /dev/null
+++ b/internal/scenario/worker.go
@@ -0,0 +1,352 @@
+package scenario
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"rockrun/internal/coordination"
+	"rockrun/internal/protocol"
+)
+
+// worker is the stand-in for a machine's worker.
+type worker struct {
+	s       *sim
+	r       *rented
+	t       *protocol.MachineType
+	dead    bool
+	cut     bool // no message gets through; direct commands are held back
+	held    []func()
+	faulty  bool
+	slow    float64
+	session uint64
+	seq     uint64
+	token   uint64
+	leaseAt time.Duration // when the last answered report was sent
+	tasks   []*onWorker
+	images  map[string]bool
+	node    int
+	flying  bool
+	last    time.Duration // last report
+	dirty   bool
+	warn    time.Duration // when the cloud takes it; 0: not announced
+}
+
+// onWorker is an attempt on a worker.
+type onWorker struct {
+	protocol.TaskStatus
+	spec  *protocol.Spec
+	round int // stale timers of an earlier state are ignored
+}
+
+func newWorker(s *sim, r *rented, t *protocol.MachineType) {
+	w := &worker{s: s, r: r, t: t, session: 1, leaseAt: s.now, images: map[string]bool{}, slow: 1, node: s.rand.IntN(len(s.nodes))}
+	s.workers[r.Name] = w
+	w.report()
+	w.watchLease()
+}
+
+func (w *worker) kill() {
+	w.dead = true
+	for _, t := range w.tasks {
+		w.s.check.left(w, t)
+	}
+	w.tasks = nil
+	delete(w.s.workers, w.r.Name)
+}
+
+func (w *worker) watchLease() {
+	lease := w.s.cluster.Workers.Lease()
+	w.s.after(max(w.leaseAt+lease-w.s.now, time.Millisecond), func() {
+		if w.dead {
+			return
+		}
+		if w.s.now >= w.leaseAt+lease {
+			for _, t := range w.tasks {
+				w.s.check.left(w, t)
+			}
+			w.tasks = nil
+			w.session++
+			w.leaseAt = w.s.now
+			w.changed()
+		}
+		w.watchLease()
+	})
+}
+
+func (w *worker) status() *protocol.Report {
+	w.seq++
+	r := &protocol.Report{
+		Machine: w.r.Name, Address: w.r.Address, Type: w.r.Type, Zone: w.r.Zone, Spot: w.r.Spot,
+		Session: w.session, Seq: w.seq, Token: w.token,
+	}
+	if w.warn > 0 {
+		left := (w.warn - w.s.now).Seconds()
+		r.NoticeS = &left
+	}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, t.TaskStatus)
+	}
+	return r
+}
+
+// changed asks for a report soon.
+func (w *worker) changed() {
+	if w.dirty || w.dead {
+		return
+	}
+	w.dirty = true
+	w.s.after(w.last+500*time.Millisecond-w.s.now, w.report)
+}
+
+// report sends a report and sees to the next one.
+func (w *worker) report() {
+	if w.dead || w.flying {
+		return
+	}
+	w.flying, w.dirty, w.last = true, false, w.s.now
+	sent, session := w.s.now, w.session
+	r := w.status()
+	answered := false
+	finish := func(a coordination.Answer, ok bool) {
+		if answered || w.dead {
+			return
+		}
+		answered = true
+		w.flying = false
+		pause := time.Duration((0.75 + 0.5*w.s.rand.Float64()) * float64(w.s.cluster.Workers.Report()))
+		switch {
+		case ok && a.Status == http.StatusOK:
+			o := a.Body.(protocol.Orders)
+			if o.Token >= w.token && session == w.session {
+				if o.Token > w.token {
+					w.token = o.Token
+					w.changed()
+				}
+				w.leaseAt = sent
+				w.obey(o.Commands)
+			}
+		case ok && a.Status == http.StatusMisdirectedRequest:
+			boss := a.Body.(protocol.Redirect).Boss
+			i := slices.IndexFunc(w.s.nodes, func(h *host) bool { return h.name == boss })
+			if i >= 0 && i != w.node {
+				w.node = i
+				pause = 200 * time.Millisecond
+			} else {
+				w.next()
+				pause = time.Second
+			}
+		default:
+			w.next()
+			pause = time.Second
+		}
+		if w.dirty {
+			w.dirty = false
+			w.changed()
+		}
+		seq := w.seq
+		w.s.after(pause, func() {
+			if w.seq == seq || w.s.now-w.last >= w.s.cluster.Workers.Report()/2 {
+				w.report()
+			}
+		})
+	}
+	h := w.s.nodes[w.node]
+	w.s.after(4*time.Second, func() { finish(coordination.Answer{}, false) })
+	if h.p == nil {
+		w.s.after(w.s.delay(), func() { finish(coordination.Answer{}, false) })
+		return
+	}
+	p := h.p
+	deliver := func() {
+		if p.dead || h.noWorkers {
+			return
+		}
+		p.node.OnReport(r, func(a coordination.Answer) {
+			w.s.after(w.s.delay(), func() {
+				if !w.cut && !h.noWorkers {
+					finish(a, true)
+				}
+			})
+		})
+	}
+	if w.cut {
+		w.held = append(w.held, deliver) // the report arrives late
+		return
+	}
+	w.s.after(w.s.delay(), deliver)
+}
+
+func (w *worker) next() { w.node = (w.node + 1) % len(w.s.nodes) }
+
+// heal ends a cut and delivers what was held back.
+func (w *worker) heal() {
+	w.cut = false
+	for _, f := range w.held {
+		f()
+	}
+	w.held = nil
+}
+
+// direct carries out commands sent straight to the worker.
+func (w *worker) direct(o protocol.DirectOrders) (*protocol.Report, bool) {
+	if o.Token < w.token || o.Session != w.session {
+		return w.status(), false
+	}
+	if o.Token > w.token {
+		w.token = o.Token
+		w.changed()
+	}
+	w.obey(o.Commands)
+	return w.status(), true
+}
+
+func (w *worker) find(task string, try uint64) (int, *onWorker) {
+	for i, t := range w.tasks {
+		if t.Task == task && t.Attempt == try {
+			return i, t
+		}
+	}
+	return -1, nil
+}
+
+func (w *worker) obey(cmds []protocol.Command) {
+	for _, c := range cmds {
+		i, t := w.find(c.Task, c.Attempt)
+		switch c.Verb {
+		case protocol.VerbStart:
+			if t == nil {
+				w.start(c)
+			}
+		case protocol.VerbStop:
+			if t == nil || t.State == protocol.TaskEnded {
+				continue
+			}
+			if t.State == protocol.TaskRunning && t.spec.CheckpointS > 0 && c.GraceS != nil && *c.GraceS >= t.spec.SaveS {
+				w.state(t, protocol.TaskSaving)
+				w.timer(t, t.spec.SaveS, func() { t.Saved = true; w.end(t, protocol.CauseStopped) })
+			} else if t.State != protocol.TaskSaving || c.GraceS != nil && *c.GraceS == 0 {
+				w.end(t, protocol.CauseStopped)
+			}
+		case protocol.VerbReap:
+			if t != nil && t.State == protocol.TaskEnded {
+				w.tasks = slices.Delete(w.tasks, i, i+1)
+			}
+		}
+	}
+}
+
+func (w *worker) timer(t *onWorker, s float64, f func()) {
+	t.round++
+	round, session := t.round, w.session
+	w.s.after(time.Duration(s*float64(time.Second)), func() {
+		if !w.dead && t.round == round && session == w.session {
+			f()
+		}
+	})
+}
+
+func (w *worker) state(t *onWorker, state string) {
+	t.State = state
+	w.changed()
+}
+
+func (w *worker) end(t *onWorker, cause string) {
+	if t.State == protocol.TaskRunning || t.State == protocol.TaskSaving {
+		w.s.check.left(w, t)
+	}
+	t.round++
+	t.Cause = cause
+	w.state(t, protocol.TaskEnded)
+}
+
+func (w *worker) start(c protocol.Command) {
+	t := &onWorker{TaskStatus: protocol.TaskStatus{Task: c.Task, Attempt: c.Attempt}}
+	id, _, err := protocol.SplitTask(c.Task)
+	job := w.s.users.jobs[id]
+	w.tasks = append(w.tasks, t)
+	if err != nil || job == nil {
+		w.end(t, protocol.CauseNoSuch)
+		return
+	}
+	t.spec = &job.spec
+	cpus, mem := t.spec.CPUs, t.spec.MemoryGB
+	for _, o := range w.tasks {
+		if o == t || o.State == protocol.TaskEnded {
+			continue
+		}
+		if o.Task == c.Task {
+			w.end(t, protocol.CauseInUse)
+			return
+		}
+		cpus += o.spec.CPUs
+		mem += o.spec.MemoryGB
+	}
+	if cpus > w.t.CPUs+1e-6 || mem > w.t.MemoryGB+1e-6 {
+		w.end(t, protocol.CauseFull)
+		return
+	}
+	w.state(t, protocol.TaskFetching)
+	fetch := 0.0
+	if !w.images[t.spec.Image] {
+		fetch = t.spec.ImageGB / w.t.FetchGBPS
+	}
+	w.timer(t, fetch, func() {
+		w.images[t.spec.Image] = true
+		w.s.check.began(w, t)
+		w.state(t, protocol.TaskRunning)
+		switch {
+		case w.faulty || job.broken:
+			w.timer(t, 1, func() { w.end(t, protocol.CauseError) })
+		case w.s.check.finished[c.Task]:
+			w.end(t, protocol.CauseDone)
+		case t.spec.Kind != protocol.KindService:
+			w.timer(t, job.run*w.slow, func() {
+				w.s.check.finished[c.Task] = true
+				w.end(t, protocol.CauseDone)
+			})
+		}
+	})
+}
+
+// workerLink is a process's way to the workers.
+type workerLink struct{ p *process }
+
+// Command implements coordination.Workers.
+func (l workerLink) Command(addr string, o protocol.DirectOrders, done func(*protocol.Report, bool, error)) {
+	s := l.p.h.s
+	fail := func() {
+		s.after(2*time.Second, l.p.guard(func() { done(nil, false, protocol.ErrUnknown) }))
+	}
+	for _, w := range s.workers {
+		if w.r.Address != addr {
+			continue
+		}
+		if l.p.h.noWorkers {
+			break
+		}
+		if w.cut {
+			// Held back, and carried out once the cut ends.
+			w.held = append(w.held, func() { w.direct(o) })
+			break
+		}
+		s.after(s.delay(), func() {
+			if w.dead || w.cut {
+				fail()
+				return
+			}
+			r, ok := w.direct(o)
+			if s.rand.Float64() < s.echo {
+				// A late copy of a request that was carried out.
+				s.after(time.Duration(s.rand.Int64N(int64(20*time.Second))), func() {
+					if !w.dead {
+						w.direct(o)
+					}
+				})
+			}
+			s.after(s.delay(), l.p.guard(func() { done(r, ok, nil) }))
+		})
+		return
+	}
+	fail()
+}
