--- a/deploy/options.hcl
+++ b/deploy/options.hcl
@@ -4,9 +4,10 @@
 cycle_s = 1
 # How long work is blocked before machines are rented (0 to 600).
 rent_window_s = 1
-# How long the fleet is idle enough before one machine drains (0 to 3600).
-give_window_s = 30
-# Booked share of the fleet's CPUs below which machines go back (0 to 1).
+# How long the cheapest kind of machine is idle enough before it drains; dearer
+# ones drain sooner in proportion to their price (0 to 3600).
+give_window_s = 45
+# Booked share of a machine's CPUs below which it counts as idle (0 to 1).
 give_below = 0.3
 # Machines never given back, and machines at most (0 and 1 to 100000).
 fleet_min = 0
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -14,8 +14,8 @@
 type Options struct {
 	CycleS       float64 // between two looks of the sizer at the fleet
 	RentWindowS  float64 // how long work is blocked before machines are rented
-	GiveWindowS  float64 // how long the fleet is idle enough before one machine drains
-	GiveBelow    float64 // booked share below which machines may be given back
+	GiveWindowS  float64 // how long the cheapest kind of machine is idle enough before it drains; less for dearer ones
+	GiveBelow    float64 // booked share below which a machine may be given back
 	FleetMin     int     // machines never given back
 	FleetMax     int     // machines at most
 	CallsPerTurn int     // cloud calls a cycle at most
@@ -28,7 +28,7 @@
 // DefaultOptions are used where the operators' file says nothing.
 func DefaultOptions() Options {
 	return Options{
-		CycleS: 1, RentWindowS: 1, GiveWindowS: 30, GiveBelow: 0.3,
+		CycleS: 1, RentWindowS: 1, GiveWindowS: 45, GiveBelow: 0.3,
 		FleetMin: 0, FleetMax: 500, CallsPerTurn: 2, BootPatience: 2.5, HomeTeams: 8,
 	}
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -39,7 +40,7 @@
 
 	cycleAt      time.Duration
 	blockedSince time.Duration
-	idleSince    time.Duration
+	idleSince    map[string]time.Duration // by machine
 	history      []Decision
 
 	targeting bool
@@ -63,7 +64,8 @@
 func newFleet(l *leadership) *fleet {
 	return &fleet{
 		l: l, bounds: boundsOf(l.n.Options), refusedAt: map[pool]refusal{},
-		wanted: map[string]bookkeeping.MachineRecord{}, writing: map[string]bool{}, waitTo: map[string]uint64{},
+		idleSince: map[string]time.Duration{},
+		wanted:    map[string]bookkeeping.MachineRecord{}, writing: map[string]bool{}, waitTo: map[string]uint64{},
 	}
 }
 
@@ -481,7 +483,7 @@
 		}
 		f.send(now)
 	}
-	f.drain(now, l.supplies(), blocked, share)
+	f.drain(now, l.supplies(), len(left) > 0, share)
 	f.move(left)
 	f.target(now, list)
 }
@@ -527,7 +529,7 @@
 
 // drain gives back slowly: one machine at a time, after the fleet has been idle
 // enough for the whole window, and any blocked work ends it.
-func (f *fleet) drain(now time.Duration, list []*supply, blocked int, share float64) {
+func (f *fleet) drain(now time.Duration, list []*supply, blocked bool, share float64) {
 	n := f.l.n
 	draining := 0
 	for _, x := range list {
@@ -535,7 +537,7 @@
 			continue
 		}
 		note, known := f.l.note(x.m)
-		if blocked > 0 && !(known && (note.Faulty || note.Leaves)) {
+		if blocked && !(known && (note.Faulty || note.Leaves)) {
 			rec := x.m.MachineRecord
 			rec.Phase = bookkeeping.PhaseActive
 			f.write(x.m, rec, false)
@@ -543,16 +545,51 @@
 		}
 		draining++
 	}
-	idle := blocked == 0 && share < n.Options.GiveBelow && len(list) > n.Options.FleetMin
-	if !held(idle, &f.idleSince, now, f.give) || draining > 0 {
+	// A machine is idle enough by its own booked share: services keep the
+	// fleet's share up while whole machines beside them stand empty.
+	var idle []*supply
+	for _, x := range list {
+		share := 1 - x.free.cpus/max(n.book.Types[x.typ].CPUs, 1e-9)
+		since := f.idleSince[x.m.Name]
+		if held(!blocked && x.ready && x.taking && !x.service && share < n.Options.GiveBelow, &since, now, f.window(x)) {
+			idle = append(idle, x)
+		}
+		f.idleSince[x.m.Name] = since
+		if since == 0 {
+			delete(f.idleSince, x.m.Name)
+		}
+	}
+	if draining > 0 || len(list) <= n.Options.FleetMin {
 		return
 	}
-	if x := giveBack(list, n.book.Types); x != nil {
+	if x := giveBack(idle, n.book.Types); x != nil {
 		f.phase(x.m, bookkeeping.PhaseDrain, "idle")
 		f.note(Decision{Action: "drain", Reason: "booked share is low", Booked: share, Fleet: len(list), Count: 1})
 	}
 }
 
+// window is how long a machine must be idle before it goes: the give-back
+// window for the cheapest CPUs there are, less for dearer ones, so that waiting
+// for work costs the same whatever waits.
+func (f *fleet) window(x *supply) time.Duration {
+	n := f.l.n
+	cheapest := math.Inf(1)
+	for i := range n.book.Types {
+		if t := &n.book.Types[i]; t.CPUs > 0 {
+			cheapest = min(cheapest, t.Price/t.CPUs, t.SpotPrice/t.CPUs)
+		}
+	}
+	t := &n.book.Types[x.typ]
+	price := t.Price
+	if x.spot {
+		price = t.SpotPrice
+	}
+	if price <= 0 || t.CPUs <= 0 {
+		return f.give
+	}
+	return time.Duration(float64(f.give) * min(1, cheapest*t.CPUs/price))
+}
+
 // move hands idle machines of other homes to those that wait.
 func (f *fleet) move(left []demand) {
 	n := f.l.n
