Count what machines will serve over a boot time as supply for arrays

Cause: batch queues that the fleet clears in half a minute rented ordinary machines at four times the price, which came up to an empty queue.

--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -18,6 +18,7 @@
 	GiveBelow    float64 // booked share below which a machine may be given back
 	FleetMin     int     // machines never given back
 	FleetMax     int     // machines at most
+	RentPatience float64 // boot times of a new machine that arrays wait for the machines there are
 	CallsPerTurn int     // cloud calls a cycle at most
 	BootPatience float64 // multiples of a type's boot time after which a boot counts as failed
 	BlockLeaseS  float64 // a holder's lease on its machines; 0: derived from the workers' lease
@@ -29,7 +30,7 @@
 func DefaultOptions() Options {
 	return Options{
 		CycleS: 1, RentWindowS: 1, GiveWindowS: 45, GiveBelow: 0.3,
-		FleetMin: 0, FleetMax: 500, CallsPerTurn: 2, BootPatience: 2.5, HomeTeams: 8,
+		FleetMin: 0, FleetMax: 500, CallsPerTurn: 2, BootPatience: 2.5, RentPatience: 1, HomeTeams: 8,
 	}
 }
 
@@ -51,6 +52,7 @@
 		{"fleet_max", 1, 100000, true, func(o *Options, v float64) { o.FleetMax = int(v) }},
 		{"calls_per_cycle", 1, 20, true, func(o *Options, v float64) { o.CallsPerTurn = int(v) }},
 		{"boot_patience", 1.5, 20, false, func(o *Options, v float64) { o.BootPatience = v }},
+		{"rent_patience", 0, 20, false, func(o *Options, v float64) { o.RentPatience = v }},
 		{"block_lease_s", 0, 600, false, func(o *Options, v float64) { o.BlockLeaseS = v }},
 		{"home_teams", 1, 10000, true, func(o *Options, v float64) { o.HomeTeams = int(v) }},
 		{"silent_s", 0, 3600, false, func(o *Options, v float64) { o.SilentS = v }},
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -449,7 +449,7 @@
 	s := &sizing{
 		types: n.book.Types, zones: n.book.ZoneNames.ID, fits: n.book.Fits,
 		refused: func(p pool) bool { return now < f.refusedAt[p].until },
-		demands: l.demands(), supply: list,
+		demands: l.demands(), supply: list, patience: n.Options.RentPatience,
 	}
 	blocked := 0
 	for _, d := range s.demands {
@@ -522,7 +522,7 @@
 	x := &supply{typ: i, zone: n.book.ZoneNames.ID(zone), spot: spot, shard: shard, taking: true}
 	if i < len(n.book.Types) {
 		t := &n.book.Types[i]
-		x.free = room{t.CPUs, t.GPUs, t.MemoryGB}
+		x.free, x.bootLeft = room{t.CPUs, t.GPUs, t.MemoryGB}, t.BootS
 	}
 	return x
 }
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -36,8 +36,35 @@
 	service bool
 	ready   bool // up and under its holder's grant
 	taking  bool // may take new tasks
+
+	// For work that ends, a machine is supply over time as well, counted in
+	// machine-seconds from now on.
+	bootLeft float64 // until it is up
+	fixed    float64 // share that services hold
+	busy     float64 // machine-seconds that arrays have yet to use
+}
+
+// share is the part of a machine of a type that one task takes.
+func share(t *protocol.MachineType, j *bookkeeping.Job) float64 {
+	if n := holds(t, j); n > 0 {
+		return 1 / float64(n)
+	}
+	return 1
 }
 
+// book adds a task to what a machine is busy with, of which the given part is
+// still to run.
+func (x *supply) book(t *protocol.MachineType, j *bookkeeping.Job, part float64) {
+	if j.Kind == protocol.KindService {
+		x.fixed += share(t, j)
+	} else {
+		x.busy += share(t, j) * runS(j) * part
+	}
+}
+
+// runS is how long a task of a job is expected to run.
+func runS(j *bookkeeping.Job) float64 { return max(j.EstimateS, 1) }
+
 // rent is a decision to rent machines.
 type rent struct {
 	pool
@@ -55,6 +82,9 @@
 	supply  []*supply
 	max     int // machines that may still be rented
 	calls   int
+	// patience is how many boot times of a new machine work waits for those
+	// that are there.
+	patience float64
 }
 
 // unmet fills the supply with the demand and returns what is left over. Booting
@@ -68,9 +98,13 @@
 				x.free.gpus -= d.job.GPUs
 				x.free.memory -= d.job.MemoryGB
 				x.tasks++
+				x.book(&s.types[x.typ], d.job, 1)
 				d.count--
 			}
 		}
+		if d.count > 0 {
+			s.turnover(&d)
+		}
 		if d.count > 0 {
 			left = append(left, d)
 		}
@@ -78,6 +112,34 @@
 	return left
 }
 
+// turnover takes off the demand what machines that are there will have served
+// by the time a new one could start on it: renting for that would only add
+// machines that come up to an empty queue.
+func (s *sizing) turnover(d *demand) {
+	if d.job.Kind != protocol.KindArray {
+		return
+	}
+	p, _, ok := s.cheapest(*d)
+	if !ok {
+		return
+	}
+	horizon := s.types[p.typ].BootS * s.patience
+	for _, x := range s.supply {
+		if !x.taking || x.shard != d.shard || x.spot && !d.job.Spot || d.job.ZoneIdx >= 0 && d.job.ZoneIdx != x.zone || !s.fits(d.job, x.typ) {
+			continue
+		}
+		each := share(&s.types[x.typ], d.job) * runS(d.job)
+		n := min(int(((horizon-x.bootLeft)*(1-x.fixed)-x.busy)/each), d.count)
+		if n > 0 {
+			x.busy += float64(n) * each
+			d.count -= n
+		}
+		if d.count == 0 {
+			return
+		}
+	}
+}
+
 func (s *sizing) takes(x *supply, j *bookkeeping.Job) bool {
 	return x.free.fits(j) && (!x.spot || j.Spot) && (j.ZoneIdx < 0 || j.ZoneIdx == x.zone) && s.fits(j, x.typ)
 }
@@ -159,12 +221,12 @@
 // giveBack picks the machine to drain: the least booked one without services.
 func giveBack(list []*supply, types []protocol.MachineType) *supply {
 	var best *supply
-	share := func(x *supply) float64 { return 1 - x.free.cpus/max(types[x.typ].CPUs, 1e-9) }
+	booked := func(x *supply) float64 { return 1 - x.free.cpus/max(types[x.typ].CPUs, 1e-9) }
 	for _, x := range list {
 		if !x.ready || !x.taking || x.service {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(share(x), share(best)), cmp.Compare(x.m.Name, best.m.Name)) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(booked(x), booked(best)), cmp.Compare(x.m.Name, best.m.Name)) < 0 {
 			best = x
 		}
 	}
@@ -253,9 +315,13 @@
 			x.free.memory -= j.MemoryGB
 			x.tasks++
 			x.service = x.service || j.Kind == protocol.KindService
+			x.book(t, j, 0.5)
 		}
 		note, known := l.note(m)
 		x.ready = known && note.Seen
+		if !x.ready {
+			x.bootLeft = max(0, t.BootS-l.age(m).Seconds())
+		}
 		if known && (note.Faulty || note.Leaves || note.Seen && note.Silent > l.n.Settings.Cluster.Workers.Report()*3) {
 			x.taking = false
 		}
