--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -30,7 +30,7 @@
 func DefaultOptions() Options {
 	return Options{
 		CycleS: 1, RentWindowS: 1, GiveWindowS: 45, GiveBelow: 0.3,
-		FleetMin: 0, FleetMax: 500, CallsPerTurn: 2, BootPatience: 2.5, RentPatience: 1, HomeTeams: 8,
+		FleetMin: 0, FleetMax: 500, CallsPerTurn: 2, BootPatience: 2.5, RentPatience: 2, HomeTeams: 8,
 	}
 }
 
