--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -19,6 +19,7 @@
 	FleetMin     int     // machines never given back
 	FleetMax     int     // machines at most
 	RentPatience float64 // boot times of a new machine that arrays wait for the machines there are
+	ServiceSpare int     // replicas of each kind of running service for which room is kept
 	CallsPerTurn int     // cloud calls a cycle at most
 	BootPatience float64 // multiples of a type's boot time after which a boot counts as failed
 	BlockLeaseS  float64 // a holder's lease on its machines; 0: derived from the workers' lease
@@ -30,7 +31,7 @@
 func DefaultOptions() Options {
 	return Options{
 		CycleS: 1, RentWindowS: 1, GiveWindowS: 45, GiveBelow: 0.3,
-		FleetMin: 0, FleetMax: 500, CallsPerTurn: 2, BootPatience: 2.5, RentPatience: 2, HomeTeams: 8,
+		FleetMin: 0, FleetMax: 500, CallsPerTurn: 2, BootPatience: 2.5, ServiceSpare: 2, RentPatience: 2, HomeTeams: 8,
 	}
 }
 
@@ -53,6 +54,7 @@
 		{"calls_per_cycle", 1, 20, true, func(o *Options, v float64) { o.CallsPerTurn = int(v) }},
 		{"boot_patience", 1.5, 20, false, func(o *Options, v float64) { o.BootPatience = v }},
 		{"rent_patience", 0, 20, false, func(o *Options, v float64) { o.RentPatience = v }},
+		{"service_spare", 0, 1000, true, func(o *Options, v float64) { o.ServiceSpare = int(v) }},
 		{"block_lease_s", 0, 600, false, func(o *Options, v float64) { o.BlockLeaseS = v }},
 		{"home_teams", 1, 10000, true, func(o *Options, v float64) { o.HomeTeams = int(v) }},
 		{"silent_s", 0, 3600, false, func(o *Options, v float64) { o.SilentS = v }},
@@ -127,7 +129,10 @@
 	return min(w.Lease()/6, top)
 }
 
-// Silence is how long a running machine may say nothing before it is replaced.
+// Silence is how long a running machine may say nothing before it is replaced:
+// until its worker's lease has ended its tasks, or a dead machine would begin to
+// show in the cloud's list. Giving up a machine sooner ends services that a
+// short cut would have spared.
 func (o Options) Silence(w Workers) time.Duration {
 	if o.SilentS > 0 {
 		return seconds(o.SilentS)
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -470,6 +470,12 @@
 	s.max = n.Options.FleetMax - len(list)
 	s.calls = max(0, n.Options.CallsPerTurn-len(f.asks))
 	left := s.unmet()
+	spares := l.spares(l.supplies())
+	for _, d := range spares {
+		if d.count -= s.spareFor(d, nil); d.count > 0 {
+			left = append(left, d)
+		}
+	}
 	if held(len(left) > 0, &f.blockedSince, now, f.rent) {
 		for _, r := range s.plan(left) {
 			f.asked++
@@ -483,7 +489,7 @@
 		}
 		f.send(now)
 	}
-	f.drain(now, l.supplies(), len(left) > 0, share)
+	f.drain(now, s, spares, len(left) > 0, share)
 	f.move(left)
 	f.target(now, list)
 }
@@ -522,15 +528,17 @@
 	x := &supply{typ: i, zone: n.book.ZoneNames.ID(zone), spot: spot, shard: shard, taking: true}
 	if i < len(n.book.Types) {
 		t := &n.book.Types[i]
-		x.free, x.bootLeft = room{t.CPUs, t.GPUs, t.MemoryGB}, t.BootS
+		x.free = room{t.CPUs, t.GPUs, t.MemoryGB}
+		x.firm, x.bootLeft = x.free, t.BootS
 	}
 	return x
 }
 
 // drain gives back slowly: one machine at a time, after the fleet has been idle
 // enough for the whole window, and any blocked work ends it.
-func (f *fleet) drain(now time.Duration, list []*supply, blocked bool, share float64) {
+func (f *fleet) drain(now time.Duration, s *sizing, spares []demand, blocked bool, share float64) {
 	n := f.l.n
+	list := f.l.supplies()
 	draining := 0
 	for _, x := range list {
 		if x.m.Phase != bookkeeping.PhaseDrain {
@@ -551,7 +559,8 @@
 	for _, x := range list {
 		share := 1 - x.free.cpus/max(n.book.Types[x.typ].CPUs, 1e-9)
 		since := f.idleSince[x.m.Name]
-		if held(!blocked && x.ready && x.taking && !x.service && share < n.Options.GiveBelow, &since, now, f.window(x)) {
+		if held(!blocked && x.ready && x.taking && !x.service && share < n.Options.GiveBelow, &since, now, f.window(x)) &&
+			!slices.ContainsFunc(spares, func(d demand) bool { return s.suits(x, d.job) && s.spareFor(d, x.m) < d.count }) {
 			idle = append(idle, x)
 		}
 		f.idleSince[x.m.Name] = since
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -223,6 +223,20 @@
 	return j.CPUs <= r.cpus+1e-6 && j.GPUs <= r.gpus+1e-6 && j.MemoryGB <= r.memory+1e-6
 }
 
+// take takes off what a task of a job needs.
+func (r *room) take(j *bookkeeping.Job) {
+	r.cpus -= j.CPUs
+	r.gpus -= j.GPUs
+	r.memory -= j.MemoryGB
+}
+
+// leave adds what a task of a job will leave.
+func (r *room) leave(j *bookkeeping.Job) {
+	r.cpus += j.CPUs
+	r.gpus += j.GPUs
+	r.memory += j.MemoryGB
+}
+
 func (h *holder) free(x *holding) room {
 	t := &h.n.book.Types[x.m.TypeIdx]
 	return room{t.CPUs - x.cpus, t.GPUs - x.gpus, t.MemoryGB - x.memory}
@@ -298,9 +312,7 @@
 		} else {
 			for _, a := range x.attempts {
 				if a.live() && a.stop {
-					r.cpus += a.job.CPUs
-					r.gpus += a.job.GPUs
-					r.memory += a.job.MemoryGB
+					r.leave(a.job)
 				}
 			}
 		}
@@ -319,9 +331,7 @@
 			if r.fits(w.job) {
 				break
 			}
-			r.cpus += a.job.CPUs
-			r.gpus += a.job.GPUs
-			r.memory += a.job.MemoryGB
+			r.leave(a.job)
 			cost += 1 + a.job.CPUs*(now-a.planned).Seconds()
 			chosen = append(chosen, a)
 		}
@@ -341,25 +351,19 @@
 		r = &f
 		for _, a := range best.attempts {
 			if a.live() && a.stop {
-				r.cpus += a.job.CPUs
-				r.gpus += a.job.GPUs
-				r.memory += a.job.MemoryGB
+				r.leave(a.job)
 			}
 		}
 		promised[best] = r
 	}
 	for _, a := range victims {
-		r.cpus += a.job.CPUs
-		r.gpus += a.job.GPUs
-		r.memory += a.job.MemoryGB
+		r.leave(a.job)
 		a.stop, a.halted = true, 0
 		if a.job.CheckpointS > 0 {
 			a.grace = a.job.SaveS
 		}
 		h.n.Log.Info("preempt", "job", a.job.ID, "task", a.task, "machine", best.m.Name, "for", w.job.ID)
 	}
-	r.cpus -= w.job.CPUs
-	r.gpus -= w.job.GPUs
-	r.memory -= w.job.MemoryGB
+	r.take(w.job)
 	return true
 }
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"rockrun/internal/bookkeeping"
@@ -26,16 +27,18 @@
 
 // supply is a machine as the sizer counts it: what it will offer to new work.
 type supply struct {
-	m       *bookkeeping.Machine
-	typ     int
-	zone    int
-	spot    bool
-	shard   int
-	free    room
-	tasks   int
-	service bool
-	ready   bool // up and under its holder's grant
-	taking  bool // may take new tasks
+	m        *bookkeeping.Machine
+	typ      int
+	zone     int
+	spot     bool
+	shard    int
+	free     room
+	firm     room // what is left beside services: other work gives way to them
+	tasks    int
+	service  bool
+	ready    bool // up and under its holder's grant
+	taking   bool // may take new tasks
+	doubtful bool // silent, or the cloud takes it
 
 	// For work that ends, a machine is supply over time as well, counted in
 	// machine-seconds from now on.
@@ -94,9 +97,10 @@
 	for _, d := range s.demands {
 		for _, x := range s.supply {
 			for d.count > 0 && x.taking && x.shard == d.shard && s.takes(x, d.job) {
-				x.free.cpus -= d.job.CPUs
-				x.free.gpus -= d.job.GPUs
-				x.free.memory -= d.job.MemoryGB
+				x.free.take(d.job)
+				if d.job.Kind == protocol.KindService {
+					x.firm.take(d.job)
+				}
 				x.tasks++
 				x.book(&s.types[x.typ], d.job, 1)
 				d.count--
@@ -125,7 +129,7 @@
 	}
 	horizon := s.types[p.typ].BootS * s.patience
 	for _, x := range s.supply {
-		if !x.taking || x.shard != d.shard || x.spot && !d.job.Spot || d.job.ZoneIdx >= 0 && d.job.ZoneIdx != x.zone || !s.fits(d.job, x.typ) {
+		if !x.taking || x.shard != d.shard || !s.suits(x, d.job) {
 			continue
 		}
 		each := share(&s.types[x.typ], d.job) * runS(d.job)
@@ -141,7 +145,15 @@
 }
 
 func (s *sizing) takes(x *supply, j *bookkeeping.Job) bool {
-	return x.free.fits(j) && (!x.spot || j.Spot) && (j.ZoneIdx < 0 || j.ZoneIdx == x.zone) && s.fits(j, x.typ)
+	r := x.free
+	if j.Kind == protocol.KindService {
+		r = x.firm
+	}
+	return r.fits(j) && s.suits(x, j)
+}
+
+func (s *sizing) suits(x *supply, j *bookkeeping.Job) bool {
+	return (!x.spot || j.Spot) && (j.ZoneIdx < 0 || j.ZoneIdx == x.zone) && s.fits(j, x.typ)
 }
 
 // plan rents the cheapest machines for the unmet demand: for every group of
@@ -218,6 +230,73 @@
 	return int(n)
 }
 
+// spareFor returns for how many more replicas of a service its home has room.
+func (s *sizing) spareFor(d demand, without *bookkeeping.Machine) int {
+	n := 0
+	for _, x := range s.supply {
+		if !x.taking || x.shard != d.shard || !s.suits(x, d.job) || without != nil && x.m == without {
+			continue
+		}
+		for r := x.firm; r.fits(d.job); n++ {
+			r.take(d.job)
+		}
+	}
+	return n
+}
+
+// spares lists the services whose next replicas must find room at once: one
+// entry for every shape of running service, with the number of replicas.
+// Those on machines that have fallen silent or that the cloud takes come on top,
+// so that room is on its way before they are known to be lost.
+func (l *leadership) spares(list []*supply) []demand {
+	n := l.n
+	var out []demand
+	n.book.Jobs.All(func(_ int, j *bookkeeping.Job) {
+		if !j.Over() && j.Kind == protocol.KindService && n.book.Home(j) >= 0 {
+			out = append(out, demand{j, n.book.Home(j), 1})
+		}
+	})
+	slices.SortFunc(out, func(a, b demand) int { return cmp.Compare(a.job.ID, b.job.ID) })
+	out = gather(out)
+	for i := range out {
+		out[i].count = min(out[i].count, n.Options.ServiceSpare)
+	}
+	for _, x := range list {
+		if !x.doubtful {
+			continue
+		}
+		for ref := range x.m.Intents {
+			if j := n.book.Jobs.Get(ref.Job); !j.Over() && j.Kind == protocol.KindService && n.book.Home(j) >= 0 {
+				out = append(out, demand{j, n.book.Home(j), 1})
+			}
+		}
+	}
+	return gather(out)
+}
+
+// gather joins equal jobs of a home, in the place of the first.
+func gather(list []demand) []demand {
+	type shape struct {
+		shard, zone        int
+		spot               bool
+		cpus, gpus, memory float64
+		types              string
+	}
+	at := map[shape]int{}
+	var out []demand
+	for _, d := range list {
+		j := d.job
+		k := shape{d.shard, j.ZoneIdx, j.Spot, j.CPUs, j.GPUs, j.MemoryGB, strings.Join(j.Types, " ")}
+		if i, ok := at[k]; ok {
+			out[i].count += d.count
+			continue
+		}
+		at[k] = len(out)
+		out = append(out, d)
+	}
+	return out
+}
+
 // giveBack picks the machine to drain: the least booked one without services.
 func giveBack(list []*supply, types []protocol.MachineType) *supply {
 	var best *supply
@@ -306,13 +385,14 @@
 		t := &n.book.Types[m.TypeIdx]
 		x := &supply{
 			m: m, typ: m.TypeIdx, zone: m.ZoneIdx, spot: m.Spot, shard: m.Shard,
-			free: room{t.CPUs, t.GPUs, t.MemoryGB}, taking: m.Phase == bookkeeping.PhaseActive,
+			free: room{t.CPUs, t.GPUs, t.MemoryGB}, firm: room{t.CPUs, t.GPUs, t.MemoryGB}, taking: m.Phase == bookkeeping.PhaseActive,
 		}
 		for ref := range m.Intents {
 			j := n.book.Jobs.Get(ref.Job)
-			x.free.cpus -= j.CPUs
-			x.free.gpus -= j.GPUs
-			x.free.memory -= j.MemoryGB
+			x.free.take(j)
+			if j.Kind == protocol.KindService {
+				x.firm.take(j)
+			}
 			x.tasks++
 			x.service = x.service || j.Kind == protocol.KindService
 			x.book(t, j, 0.5)
@@ -324,6 +404,7 @@
 		}
 		if known && (note.Faulty || note.Leaves || note.Seen && note.Silent > l.n.Settings.Cluster.Workers.Report()*3) {
 			x.taking = false
+			x.doubtful = true
 		}
 		if !x.ready && l.overdue(m) {
 			x.taking = false
