--- a/deploy/options.hcl
+++ b/deploy/options.hcl
@@ -20,7 +20,7 @@
 # more are rented (0 to 20).
 rent_patience = 2
 # Replicas of each kind of running service for which room is kept (0 to 1000).
-service_spare = 2
+service_spare = 4
 # A holder's lease on its machines; 0 derives it from the workers' lease (0 to 600).
 block_lease_s = 0
 # Teams that share one home controller before the next is used (1 to 10000).
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -31,7 +31,7 @@
 func DefaultOptions() Options {
 	return Options{
 		CycleS: 1, RentWindowS: 1, GiveWindowS: 45, GiveBelow: 0.3,
-		FleetMin: 0, FleetMax: 500, CallsPerTurn: 2, BootPatience: 2.5, ServiceSpare: 2, RentPatience: 2, HomeTeams: 8,
+		FleetMin: 0, FleetMax: 500, CallsPerTurn: 2, BootPatience: 2.5, ServiceSpare: 4, RentPatience: 2, HomeTeams: 8,
 	}
 }
 
