--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -449,7 +449,7 @@
 	s := &sizing{
 		types: n.book.Types, zones: n.book.ZoneNames.ID, fits: n.book.Fits,
 		refused: func(p pool) bool { return now < f.refusedAt[p].until },
-		demands: l.demands(), supply: list, patience: n.Options.RentPatience,
+		demands: l.demands(), supply: list, patience: n.Options.RentPatience, slack: l.slack,
 	}
 	blocked := 0
 	for _, d := range s.demands {
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -88,6 +88,7 @@
 	// patience is how many boot times of a new machine work waits for those
 	// that are there.
 	patience float64
+	slack    func(j *bookkeeping.Job) float64 // seconds until a task must start to be in time
 }
 
 // unmet fills the supply with the demand and returns what is left over. Booting
@@ -127,7 +128,11 @@
 	if !ok {
 		return
 	}
-	horizon := s.types[p.typ].BootS * s.patience
+	boot := s.types[p.typ].BootS
+	horizon := boot * s.patience
+	if s.slack != nil {
+		horizon = min(horizon, max(boot, s.slack(d.job)))
+	}
 	for _, x := range s.supply {
 		if !x.taking || x.shard != d.shard || !s.suits(x, d.job) {
 			continue
@@ -274,6 +279,15 @@
 	return gather(out)
 }
 
+// slack is how many seconds are left until a task of a job must start if the job
+// is to meet its deadline.
+func (l *leadership) slack(j *bookkeeping.Job) float64 {
+	if j.DeadlineS <= 0 {
+		return math.Inf(1)
+	}
+	return j.DeadlineS - runS(j) - float64(l.n.Clock.Wall().UnixMilli()-j.AtMS)/1000
+}
+
 // gather joins equal jobs of a home, in the place of the first.
 func gather(list []demand) []demand {
 	type shape struct {
