Plan rentals together: leftovers are used, one request a pool

Cause: each service of one task rented a small machine of its own, two calls a cycle, so the first fleet took 9 s to order and half of it stood empty.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -146,7 +146,7 @@
 			}
 			b.TypesVer = version
 			for _, t := range r.Types {
-				i := b.typeID(t.Name)
+				i := b.TypeID(t.Name)
 				b.Types[i] = t
 			}
 		}
@@ -183,7 +183,7 @@
 				return err
 			}
 			m.MachineRecord, m.Version = r, version
-			m.TypeIdx, m.ZoneIdx = b.typeID(r.Type), b.ZoneNames.ID(r.Zone)
+			m.TypeIdx, m.ZoneIdx = b.TypeID(r.Type), b.ZoneNames.ID(r.Zone)
 		}
 	case strings.HasPrefix(key, preIntent):
 		m := b.machine(key[len(preIntent):])
@@ -271,7 +271,8 @@
 	}
 }
 
-func (b *Book) typeID(name string) int {
+// TypeID returns the index of a machine type, known to the cloud or not.
+func (b *Book) TypeID(name string) int {
 	i := b.TypeNames.ID(name)
 	for len(b.Types) <= i {
 		b.Types = append(b.Types, protocol.MachineType{Name: b.TypeNames.Name(len(b.Types))})
@@ -316,7 +317,7 @@
 	}
 	j.TypeIdx = nil
 	for _, t := range r.Spec.Types {
-		j.TypeIdx = append(j.TypeIdx, b.typeID(t))
+		j.TypeIdx = append(j.TypeIdx, b.TypeID(t))
 	}
 }
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -524,14 +524,8 @@
 
 func (f *fleet) promised(typ, zone string, spot bool, shard int) *supply {
 	n := f.l.n
-	i := n.book.TypeNames.ID(typ)
-	x := &supply{typ: i, zone: n.book.ZoneNames.ID(zone), spot: spot, shard: shard, taking: true}
-	if i < len(n.book.Types) {
-		t := &n.book.Types[i]
-		x.free = room{t.CPUs, t.GPUs, t.MemoryGB}
-		x.firm, x.bootLeft = x.free, t.BootS
-	}
-	return x
+	i := n.book.TypeID(typ)
+	return newSupply(&n.book.Types[i], pool{i, n.book.ZoneNames.ID(zone), spot}, shard)
 }
 
 // drain gives back slowly: one machine at a time, after the fleet has been idle
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -97,15 +97,7 @@
 	var left []demand
 	for _, d := range s.demands {
 		for _, x := range s.supply {
-			for d.count > 0 && x.taking && x.shard == d.shard && s.takes(x, d.job) {
-				x.free.take(d.job)
-				if d.job.Kind == protocol.KindService {
-					x.firm.take(d.job)
-				}
-				x.tasks++
-				x.book(&s.types[x.typ], d.job, 1)
-				d.count--
-			}
+			s.fill(x, &d)
 		}
 		if d.count > 0 {
 			s.turnover(&d)
@@ -161,30 +153,65 @@
 	return (!x.spot || j.Spot) && (j.ZoneIdx < 0 || j.ZoneIdx == x.zone) && s.fits(j, x.typ)
 }
 
-// plan rents the cheapest machines for the unmet demand: for every group of
-// equal tasks the pool in which a task costs least once the machine is filled
-// as far as this demand fills it.
+// plan rents the cheapest machines for the unmet demand: for every job the pool
+// in which a task costs least once the machine is filled as far as the job fills
+// it. What a machine has left over is used by the jobs that follow, and machines
+// of one pool are asked for together.
 func (s *sizing) plan(left []demand) []rent {
 	var rents []rent
+	var planned []*supply
 	for _, d := range left {
-		for d.count > 0 && s.max > 0 && len(rents) < s.calls {
+		for _, x := range planned {
+			s.fill(x, &d)
+		}
+		for d.count > 0 && s.max > 0 {
 			p, per, ok := s.cheapest(d)
 			if !ok {
 				break
 			}
-			count := min((d.count+per-1)/per, s.max, 50)
-			if d.count > per {
-				// Whole machines first; the rest may be cheaper elsewhere.
-				count = min(d.count/per, s.max, 50)
+			i := slices.IndexFunc(rents, func(r rent) bool { return r.pool == p && r.shard == d.shard })
+			if i < 0 {
+				if len(rents) >= s.calls {
+					break
+				}
+				i = len(rents)
+				rents = append(rents, rent{pool: p, shard: d.shard})
 			}
-			rents = append(rents, rent{p, d.shard, count})
+			// Whole machines first; the rest may be cheaper elsewhere.
+			count := min(max(d.count/per, 1), s.max, 50-rents[i].count)
+			if count <= 0 {
+				break
+			}
+			rents[i].count += count
 			s.max -= count
-			d.count -= count * per
+			for range count {
+				x := newSupply(&s.types[p.typ], p, d.shard)
+				planned = append(planned, x)
+				s.fill(x, &d)
+			}
 		}
 	}
 	return rents
 }
 
+// newSupply is a machine that is not there yet.
+func newSupply(t *protocol.MachineType, p pool, shard int) *supply {
+	r := room{t.CPUs, t.GPUs, t.MemoryGB}
+	return &supply{typ: p.typ, zone: p.zone, spot: p.spot, shard: shard, taking: true, free: r, firm: r, bootLeft: t.BootS}
+}
+
+// fill gives a machine as much of a demand as it takes.
+func (s *sizing) fill(x *supply, d *demand) {
+	for d.count > 0 && x.taking && x.shard == d.shard && s.takes(x, d.job) {
+		x.free.take(d.job)
+		if d.job.Kind == protocol.KindService {
+			x.firm.take(d.job)
+		}
+		x.book(&s.types[x.typ], d.job, 1)
+		d.count--
+	}
+}
+
 func (s *sizing) cheapest(d demand) (best pool, per int, ok bool) {
 	bestCost := math.Inf(1)
 	for typ := range s.types {
@@ -407,7 +434,6 @@
 			if j.Kind == protocol.KindService {
 				x.firm.take(j)
 			}
-			x.tasks++
 			x.service = x.service || j.Kind == protocol.KindService
 			x.book(t, j, 0.5)
 		}
