Keep completed tasks read before their job

Cause: a starting controller reads records in key order, r/d before r/j; completed tasks of a job not yet known were taken for leftovers, so they ran again and every later write of them conflicted.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -89,14 +89,11 @@
 	TermVer   uint64
 	Target    TargetRecord
 	TargetVer uint64
-
-	// StrayDone are records of completed tasks whose job is over.
-	StrayDone map[string]uint64
 }
 
 // NewBook makes an empty book for the given teams and number of shards.
 func NewBook(teams []Team, shards int) *Book {
-	b := &Book{Teams: teams, Grants: make([]Grant, shards), StrayDone: map[string]uint64{}}
+	b := &Book{Teams: teams, Grants: make([]Grant, shards)}
 	for i, t := range teams {
 		b.TeamNames.ID(t.Name)
 		b.Homes = append(b.Homes, -1)
@@ -208,11 +205,9 @@
 		if !ok {
 			return fmt.Errorf("record %s: not understood", key)
 		}
-		_, j := b.Jobs.Find(id)
-		if j == nil || j.Over() {
-			b.StrayDone[key] = version
-			return nil
-		}
+		// Records are read in the order of their keys, so this one can come
+		// before its job's; what it says is kept for the job either way.
+		j := b.job(id)
 		if version > j.DoneVer[chunk] {
 			var bits []byte
 			if err := read(&bits); err != nil {
@@ -229,13 +224,31 @@
 func (j *Job) addDone(chunk int, bits Bits) {
 	for i := range min(ChunkTasks, len(bits)*8) {
 		task := chunk*ChunkTasks + i
-		if bits.Has(i) && task < j.Tasks && !j.Done.Has(task) {
+		if bits.Has(i) && task < protocol.MaxTasks && !j.Done.Has(task) {
 			j.Done.Set(task)
 			j.DoneN++
 		}
 	}
 }
 
+// StrayDone lists the records of completed tasks that a job which is over has
+// left behind, with their versions.
+func (b *Book) StrayDone() map[string]uint64 {
+	var out map[string]uint64
+	b.Jobs.All(func(_ int, j *Job) {
+		if !j.Over() {
+			return
+		}
+		for chunk, version := range j.DoneVer {
+			if out == nil {
+				out = map[string]uint64{}
+			}
+			out[DoneKey(j.ID, chunk)] = version
+		}
+	})
+	return out
+}
+
 // Remove takes in that a key was removed.
 func (b *Book) Remove(key string, version uint64) {
 	switch {
@@ -255,17 +268,14 @@
 		}
 	case strings.HasPrefix(key, preJob):
 		if _, j := b.Jobs.Find(key[len(preJob):]); j != nil && version > j.Version && j.Version != 0 {
-			for chunk, v := range j.DoneVer {
-				b.StrayDone[DoneKey(j.ID, chunk)] = v
-			}
 			j.Version = 0
 			b.DropJob(j)
 		}
 	case strings.HasPrefix(key, preDone):
-		delete(b.StrayDone, key)
 		if id, chunk, ok := splitDone(key); ok {
-			if _, j := b.Jobs.Find(id); j != nil {
+			if _, j := b.Jobs.Find(id); j != nil && version > j.DoneVer[chunk] {
 				delete(j.DoneVer, chunk)
+				b.DropJob(j)
 			}
 		}
 	}
@@ -354,7 +364,7 @@
 
 // DropJob forgets a job that is over once nothing names it any more.
 func (b *Book) DropJob(j *Job) {
-	if j.Over() && len(j.Intended) == 0 && j.Refs == 0 {
+	if j.Over() && len(j.Intended) == 0 && len(j.DoneVer) == 0 && j.Refs == 0 {
 		b.Jobs.Drop(j.ID)
 	}
 }
--- /dev/null
+++ b/internal/bookkeeping/book_test.go
@@ -0,0 +1,98 @@
+package bookkeeping
+
+import (
+	"encoding/json"
+	"testing"
+
+	"rockrun/internal/protocol"
+)
+
+func job(id string, tasks int) json.RawMessage {
+	return Encode(JobRecord{Spec: protocol.Spec{ID: id, Team: "red", Kind: protocol.KindArray, Priority: "normal", Tasks: tasks, CPUs: 1}})
+}
+
+// Whoever starts reads records in the order of their keys: completed tasks and
+// intents come before the jobs they belong to, and must not be lost.
+func TestOrderOfReading(t *testing.T) {
+	b := NewBook([]Team{{Name: "red"}}, 1)
+	var done Bits
+	done.Set(0)
+	done.Set(3)
+	apply := func(key string, value json.RawMessage, version uint64) {
+		t.Helper()
+		if err := b.Apply(key, value, version); err != nil {
+			t.Fatal(err)
+		}
+	}
+	apply(DoneKey("run-1", 0), Encode([]byte(done)), 7)
+	apply(IntentKey("m-1"), Encode(IntentRecord{Tasks: []IntentTask{{"run-1/1", 5}, {"run-1/3", 4}}}), 8)
+	apply(JobKey("run-1"), job("run-1", 6), 3)
+	_, j := b.Jobs.Find("run-1")
+	if j.DoneN != 2 || !j.Done.Has(3) || j.DoneVer[0] != 7 {
+		t.Errorf("completed tasks: %d, version %d", j.DoneN, j.DoneVer[0])
+	}
+	if j.Open() != 3 { // 0 and 3 are done, 1 is intended
+		t.Errorf("%d tasks are open", j.Open())
+	}
+	if len(b.StrayDone()) != 0 {
+		t.Errorf("stray records: %v", b.StrayDone())
+	}
+}
+
+// A job is forgotten only once nothing names it, so that no index is used for
+// two jobs at a time.
+func TestJobIsForgottenLast(t *testing.T) {
+	b := NewBook([]Team{{Name: "red"}}, 1)
+	for _, r := range []struct {
+		key     string
+		value   json.RawMessage
+		version uint64
+	}{
+		{JobKey("run-1"), job("run-1", 2), 1},
+		{DoneKey("run-1", 0), Encode([]byte{1}), 2},
+		{IntentKey("m-1"), Encode(IntentRecord{Tasks: []IntentTask{{"run-1/1", 5}}}), 3},
+	} {
+		if err := b.Apply(r.key, r.value, r.version); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, j := b.Jobs.Find("run-1")
+	j.Refs++
+	b.Remove(JobKey("run-1"), 4)
+	if !j.Over() || len(b.StrayDone()) != 1 {
+		t.Fatalf("over %t, stray %v", j.Over(), b.StrayDone())
+	}
+	b.Remove(DoneKey("run-1", 0), 5)
+	b.Remove(IntentKey("m-1"), 6)
+	if _, still := b.Jobs.Find("run-1"); still != j {
+		t.Fatal("forgotten while an attempt refers to it")
+	}
+	j.Refs--
+	b.DropJob(j)
+	if id, _ := b.Jobs.Find("run-1"); id >= 0 {
+		t.Error("never forgotten")
+	}
+}
+
+// Events that were read already, or come twice, change nothing.
+func TestOldVersionsAreIgnored(t *testing.T) {
+	b := NewBook([]Team{{Name: "red"}}, 2)
+	grant := func(node string, version uint64) {
+		if err := b.Apply(GrantKey(1), Encode(GrantRecord{Node: node}), version); err != nil {
+			t.Fatal(err)
+		}
+	}
+	grant("b", 9)
+	grant("a", 4)
+	grant("c", 9)
+	if b.Grants[1].Node != "b" {
+		t.Errorf("granted to %s", b.Grants[1].Node)
+	}
+	if err := b.Apply(GrantKey(7), Encode(GrantRecord{}), 10); err == nil {
+		t.Error("a grant of no shard was taken")
+	}
+	if err := b.Apply(JobKey("run-1"), json.RawMessage(`{"spec":`), 11); err == nil {
+		t.Error("a broken record was taken")
+	}
+	b.Remove(JobKey("run-1"), 12)
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -32,8 +32,8 @@
 	refusedAt map[pool]refusal
 
 	wanted  map[string]bookkeeping.MachineRecord // rented or found, record to be written
-	writing map[string]bool
-	waitTo  map[string]uint64 // revision that must be in the book before the next write
+	writing map[string]bool                      // by machine, or by key of another record
+	waitTo  map[string]uint64                    // revision that must be in the book before the next write
 
 	deleting bool
 	deleteAt time.Duration
@@ -336,15 +336,20 @@
 			f.phase(m, bookkeeping.PhaseDrain, "faulty")
 		}
 	})
-	for key, version := range n.book.StrayDone {
-		if !n.budget.take(now, 1) {
-			return
+	for key, version := range n.book.StrayDone() {
+		if f.writing[key] || n.revision < f.waitTo[key] || !n.budget.take(now, 1) {
+			continue
 		}
+		f.writing[key] = true
 		n.State.Txn(protocol.Txn{
 			If:   []protocol.Cond{f.l.cond(), {Key: key, Version: version}},
 			Then: []protocol.Op{{Delete: key}},
-		}, func(uint64, error) {})
-		delete(n.book.StrayDone, key)
+		}, func(revision uint64, err error) {
+			delete(f.writing, key)
+			if err == nil {
+				f.waitTo[key] = revision
+			}
+		})
 	}
 }
 
