--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rockrun/internal/bookkeeping"
+	"rockrun/internal/config"
 	"rockrun/internal/protocol"
 )
 
@@ -13,38 +14,59 @@
 type waiting struct {
 	job    *bookkeeping.Job
 	prog   *progress
-	within bool // fits into its team's guarantee with the team's earlier jobs
+	within bool    // fits into its team's guarantee with the team's earlier jobs
+	tier   int     // 0: can be in time; 1, 2: late, and later than is still of use
+	claim  float64 // work left by the time it has waited; the least goes first
 }
 
 // order sorts jobs into the order in which they get machines: by priority, work
-// within a guarantee before borrowed share, the nearest deadline, the oldest.
+// within a guarantee before borrowed share, jobs that can still be in time
+// before those that can't. Among equals it is the work left, weighed against
+// the time waited: where not all can be in time, small jobs let more of them be,
+// and no large one waits for ever.
 func order(list []waiting) {
 	slices.SortStableFunc(list, func(a, b waiting) int {
-		if c := cmp.Compare(a.job.Rank(), b.job.Rank()); c != 0 {
-			return c
-		}
-		if a.within != b.within {
+		if a.within != b.within && a.job.Rank() == b.job.Rank() {
 			if a.within {
 				return -1
 			}
 			return 1
 		}
-		if c := cmp.Compare(due(a.job), due(b.job)); c != 0 {
-			return c
-		}
-		if c := cmp.Compare(a.job.AtMS, b.job.AtMS); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.job.ID, b.job.ID)
+		return cmp.Or(
+			cmp.Compare(a.job.Rank(), b.job.Rank()),
+			cmp.Compare(a.tier, b.tier),
+			cmp.Compare(a.claim, b.claim),
+			cmp.Compare(a.job.AtMS, b.job.AtMS),
+			cmp.Compare(a.job.ID, b.job.ID),
+		)
 	})
 }
 
-// due is the time of day, in milliseconds, by which a job should be complete.
-func due(j *bookkeeping.Job) int64 {
-	if j.DeadlineS <= 0 {
-		return 1 << 62
+// rate works out a job's tier and claim from how many tasks are left of it.
+func (w *waiting) rate(left int, aims []config.Objective, nowMS int64) {
+	j := w.job
+	if j.Kind == protocol.KindService {
+		return
+	}
+	age := float64(nowMS-j.AtMS) / 1000
+	w.claim = float64(left) * max(j.CPUs, 0.1) * runS(j) / (age + runS(j))
+	within, last := j.DeadlineS, j.DeadlineS
+	for _, o := range aims {
+		switch {
+		case o.Class != j.Class:
+		case o.Kind == "finished" && within == 0:
+			within, last = o.WithinS, o.WithinS
+		case o.Kind == "deadline" && j.DeadlineS > 0:
+			last = max(last, j.DeadlineS*o.Times)
+		}
+	}
+	if within == 0 || age+runS(j) <= within {
+		return
+	}
+	w.tier = 1
+	if age+runS(j) > last {
+		w.tier = 2
 	}
-	return j.AtMS + int64(j.DeadlineS*1000)
 }
 
 // waitingJobs lists the jobs of this home with open tasks, in order.
@@ -73,7 +95,9 @@
 			continue
 		}
 		if h.nextOpen(j, p) >= 0 {
-			list = append(list, waiting{j, p, within})
+			w := waiting{job: j, prog: p, within: within}
+			w.rate(j.Tasks-p.doneN, n.Settings.Cluster.Objectives, n.Clock.Wall().UnixMilli())
+			list = append(list, w)
 		}
 	}
 	order(list)
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -394,7 +394,9 @@
 		used[j.TeamIdx].cpus += j.CPUs * float64(len(j.Intended))
 		used[j.TeamIdx].gpus += j.GPUs * float64(len(j.Intended))
 		if !j.Over() && n.book.Home(j) >= 0 && j.Open() > 0 {
-			list = append(list, waiting{job: j})
+			w := waiting{job: j}
+			w.rate(j.Tasks-j.DoneN, n.Settings.Cluster.Objectives, n.Clock.Wall().UnixMilli())
+			list = append(list, w)
 		}
 	})
 	order(list)
