--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -15,7 +15,7 @@
 	job    *bookkeeping.Job
 	prog   *progress
 	within bool    // fits into its team's guarantee with the team's earlier jobs
-	tier   int     // 0: can be in time; 1, 2: late, and later than is still of use
+	late   bool    // too late to be of the use its owner hoped for
 	claim  float64 // work left by the time it has waited; the least goes first
 }
 
@@ -26,15 +26,10 @@
 // and no large one waits for ever.
 func order(list []waiting) {
 	slices.SortStableFunc(list, func(a, b waiting) int {
-		if a.within != b.within && a.job.Rank() == b.job.Rank() {
-			if a.within {
-				return -1
-			}
-			return 1
-		}
 		return cmp.Or(
 			cmp.Compare(a.job.Rank(), b.job.Rank()),
-			cmp.Compare(a.tier, b.tier),
+			compareBool(b.within, a.within),
+			compareBool(a.late, b.late),
 			cmp.Compare(a.claim, b.claim),
 			cmp.Compare(a.job.AtMS, b.job.AtMS),
 			cmp.Compare(a.job.ID, b.job.ID),
@@ -42,7 +37,18 @@
 	})
 }
 
-// rate works out a job's tier and claim from how many tasks are left of it.
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// rate works out a job's claim, and whether it is late, from how many tasks are left of it.
 func (w *waiting) rate(left int, aims []config.Objective, nowMS int64) {
 	j := w.job
 	if j.Kind == protocol.KindService {
@@ -50,23 +56,17 @@
 	}
 	age := float64(nowMS-j.AtMS) / 1000
 	w.claim = float64(left) * max(j.CPUs, 0.1) * runS(j) / (age + runS(j))
-	within, last := j.DeadlineS, j.DeadlineS
+	last := j.DeadlineS
 	for _, o := range aims {
 		switch {
 		case o.Class != j.Class:
-		case o.Kind == "finished" && within == 0:
-			within, last = o.WithinS, o.WithinS
+		case o.Kind == "finished" && j.DeadlineS == 0:
+			last = o.WithinS
 		case o.Kind == "deadline" && j.DeadlineS > 0:
 			last = max(last, j.DeadlineS*o.Times)
 		}
 	}
-	if within == 0 || age+runS(j) <= within {
-		return
-	}
-	w.tier = 1
-	if age+runS(j) > last {
-		w.tier = 2
-	}
+	w.late = last > 0 && age+runS(j) > last
 }
 
 // waitingJobs lists the jobs of this home with open tasks, in order.
