Shorter block lease; judge silence by what the holder's note itself says

Cause: a shard whose holder had crashed waited out a block lease of a sixth of the workers' lease; and a machine not yet seen by a fresh holder was deleted as one that never came up.

--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -119,14 +119,14 @@
 	return o, nil
 }
 
-// BlockLease is a holder's lease on its machines: a sixth of the workers'
+// BlockLease is a holder's lease on its machines: a tenth of the workers'
 // lease, never more than half of what cancelling leaves beyond it.
 func (o Options) BlockLease(w Workers) time.Duration {
 	top := (w.Cancel() - w.Lease()) / 2
 	if o.BlockLeaseS > 0 {
 		return min(seconds(o.BlockLeaseS), top)
 	}
-	return min(w.Lease()/6, top)
+	return min(max(w.Lease()/10, 2*time.Second), top)
 }
 
 // Silence is how long a running machine may say nothing before it is replaced:
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -314,6 +314,7 @@
 	n := f.l.n
 	waits := f.blockedSince != 0
 	silence := n.Options.Silence(n.Settings.Cluster.Workers)
+	report := n.Settings.Cluster.Workers.Report()
 	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
 		if m.Version == 0 || m.Phase == bookkeeping.PhaseGone || m.Phase == bookkeeping.PhaseReturning {
 			return
@@ -328,9 +329,16 @@
 		case known && note.Seen && note.Silent > silence:
 			// Lost or hanging: the deletion's answer settles its tasks.
 			f.phase(m, bookkeeping.PhaseReturning, "silent")
-		case known && !note.Seen && waits && f.l.overdue(m):
+		case known && !note.Seen && note.Tasks > 0 && note.Silent > silence:
+			// It was up under an earlier holder and is not heard of any more. The
+			// note itself must say that it has tasks: the records are newer, and a
+			// machine that has just come up and got its first is not silent.
+			f.phase(m, bookkeeping.PhaseReturning, "silent since its holder changed")
+		case known && !note.Seen && empty && note.Tasks == 0 && waits && f.l.overdue(m) && note.Silent > 3*report:
+			// A holder that has just been granted the machine has not seen it
+			// yet either, so its own silence counts, not only the age.
 			f.phase(m, bookkeeping.PhaseReturning, "never came up")
-		case known && !note.Seen && f.l.age(m) > 10*time.Minute:
+		case known && !note.Seen && f.l.age(m) > 10*time.Minute && note.Silent > silence:
 			f.phase(m, bookkeeping.PhaseReturning, "never came up")
 		case known && note.Faulty && m.Phase == bookkeeping.PhaseActive:
 			f.phase(m, bookkeeping.PhaseDrain, "faulty")
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -800,7 +800,7 @@
 			continue
 		}
 		notes = append(notes, protocol.MachineNote{
-			Name: x.m.Name, Seen: x.fenced, Silent: now - x.heard, Faulty: x.errors >= 3, Leaves: x.notice > 0,
+			Name: x.m.Name, Seen: x.fenced, Silent: now - x.heard, Tasks: len(x.attempts), Faulty: x.errors >= 3, Leaves: x.notice > 0,
 		})
 	}
 	return notes
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -444,7 +444,7 @@
 		if !x.ready {
 			x.bootLeft = max(0, t.BootS-l.age(m).Seconds())
 		}
-		if known && (note.Faulty || note.Leaves || note.Seen && note.Silent > l.n.Settings.Cluster.Workers.Report()*3) {
+		if known && (note.Faulty || note.Leaves || (note.Seen || note.Tasks > 0) && note.Silent > l.n.Settings.Cluster.Workers.Report()*3) {
 			x.taking = false
 			x.doubtful = true
 		}
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -20,6 +20,7 @@
 	Name   string
 	Seen   bool          // has reported under the current grant
 	Silent time.Duration // since the last report, or since the grant
+	Tasks  int           // attempts that may be on it
 	Faulty bool
 	Leaves bool // the cloud will take it
 }
