--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -34,7 +34,6 @@
 	shard    int
 	free     room
 	firm     room // what is left beside services: other work gives way to them
-	tasks    int
 	service  bool
 	ready    bool // up and under its holder's grant
 	taking   bool // may take new tasks
