--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -42,6 +42,8 @@
 	cycleAt      time.Duration
 	blockedSince time.Duration
 	idleSince    map[string]time.Duration // by machine
+	movableSince map[string]time.Duration
+	drainSince   map[string]time.Duration
 	history      []Decision
 
 	targeting bool
@@ -65,8 +67,8 @@
 func newFleet(l *leadership) *fleet {
 	return &fleet{
 		l: l, bounds: boundsOf(l.n.Options), refusedAt: map[pool]refusal{},
-		idleSince: map[string]time.Duration{},
-		wanted:    map[string]bookkeeping.MachineRecord{}, writing: map[string]bool{}, waitTo: map[string]uint64{},
+		idleSince: map[string]time.Duration{}, movableSince: map[string]time.Duration{}, drainSince: map[string]time.Duration{},
+		wanted: map[string]bookkeeping.MachineRecord{}, writing: map[string]bool{}, waitTo: map[string]uint64{},
 	}
 }
 
@@ -556,7 +558,11 @@
 			continue
 		}
 		note, known := f.l.note(x.m)
-		if blocked && !(known && (note.Faulty || note.Leaves)) {
+		since := f.drainSince[x.m.Name]
+		stuck := held(x.service, &since, now, 30*time.Second) // its replicas find no place after all
+		f.drainSince[x.m.Name] = since
+		if (blocked || stuck) && !(known && (note.Faulty || note.Leaves)) {
+			delete(f.drainSince, x.m.Name)
 			rec := x.m.MachineRecord
 			rec.Phase = bookkeeping.PhaseActive
 			f.write(x.m, rec, false)
@@ -585,6 +591,29 @@
 	if x := giveBack(idle, n.book.Types); x != nil {
 		f.phase(x.m, bookkeeping.PhaseDrain, "idle")
 		f.note(Decision{Action: "drain", Reason: "booked share is low", Booked: share, Fleet: len(list), Count: 1})
+		return
+	}
+	// Then machines whose services fit beside others: the one that saves most
+	// for each replica that has to move.
+	var best *supply
+	save := 0.0
+	for _, x := range list {
+		since := f.movableSince[x.m.Name]
+		ok := !blocked && x.ready && x.taking && x.service && s.movable(x.m, func(r bookkeeping.TaskRef) *bookkeeping.Job { return n.book.Jobs.Get(r.Job) }, spares)
+		if held(ok, &since, now, f.give) {
+			if v := n.book.Types[x.typ].Price / float64(len(x.m.Intents)); best == nil || v > save {
+				best, save = x, v
+			}
+		}
+		f.movableSince[x.m.Name] = since
+		if since == 0 {
+			delete(f.movableSince, x.m.Name)
+		}
+	}
+	if best != nil {
+		clear(f.movableSince)
+		f.phase(best.m, bookkeeping.PhaseDrain, "services fit elsewhere")
+		f.note(Decision{Action: "drain", Reason: "services fit elsewhere", Booked: share, Fleet: len(list), Count: 1})
 	}
 }
 
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -632,18 +632,40 @@
 }
 
 // stops decides which tasks must leave: those of a machine that the cloud takes
-// and which can save in time, and those of machines that go back.
+// and which can save in time, and services of machines that go back.
 func (h *holder) stops() {
 	now := h.n.now()
-	for _, x := range h.sorted() {
-		if x.notice == 0 || x.notice < now {
-			continue
-		}
+	moving := false
+	machines := h.sorted()
+	for _, x := range machines {
 		for _, a := range x.attempts {
 			left := (x.notice - now).Seconds()
-			if a.state == taskRunning && !a.stop && a.job.CheckpointS > 0 && a.job.SaveS < left && left < a.job.SaveS+3 {
+			if left > 0 && a.state == taskRunning && !a.stop && a.job.CheckpointS > 0 && a.job.SaveS < left && left < a.job.SaveS+3 {
 				a.stop, a.grace = true, a.job.SaveS
 			}
+			moving = moving || a.live() && a.job.Kind == protocol.KindService && (a.stop || a.state != taskRunning)
+		}
+	}
+	// Replicas move one at a time, and only to room that is free now on a machine
+	// that has their image, so that a move costs no more than a stop and a start.
+	for _, x := range machines {
+		if moving || x.m.Phase != bookkeeping.PhaseDrain || !h.n.entitled(x.shard) || !x.fenced {
+			continue
+		}
+		for _, ref := range refs(x.attempts) {
+			a := x.attempts[ref]
+			if a.state != taskRunning || a.stop || a.job.Kind != protocol.KindService {
+				continue
+			}
+			to := h.choose(machines, a.job, nil, now)
+			if to == nil {
+				continue
+			}
+			if _, cached := to.images[a.job.ImageIdx]; cached {
+				h.n.Log.Info("move", "job", a.job.ID, "task", a.task, "from", x.m.Name, "to", to.m.Name)
+				a.stop, a.grace, moving = true, a.job.SaveS, true
+				break
+			}
 		}
 	}
 }
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -161,8 +161,10 @@
 // plan makes a new attempt at a task.
 func (h *holder) plan(j *bookkeeping.Job, task int, x *holding, try uint64, now time.Duration) *attempt {
 	a := &attempt{job: j, task: task, on: x, planned: now, try: try}
+	_, cached := x.images[j.ImageIdx]
 	h.add(a)
-	h.n.Log.Debug("place", "job", j.ID, "task", task, "machine", x.m.Name)
+	h.n.Log.Debug("place", "job", j.ID, "task", task, "machine", x.m.Name, "cached", cached, "image", j.Image,
+		"waited_ms", h.n.Clock.Wall().UnixMilli()-j.AtMS)
 	return a
 }
 
@@ -289,7 +291,13 @@
 			score += 100
 		}
 		t := &h.n.book.Types[x.m.TypeIdx]
-		score += 50 * x.cpus / t.CPUs
+		if j.Kind == protocol.KindService {
+			// Beside other services: one alone would keep a machine that was
+			// rented for a burst of other work from going back.
+			score += 50 * h.serviceCPUs(x) / t.CPUs
+		} else {
+			score += 50 * x.cpus / t.CPUs
+		}
 		if best == nil || score > bestScore {
 			best, bestScore = x, score
 		}
@@ -297,6 +305,17 @@
 	return best
 }
 
+// serviceCPUs is what services take of a machine.
+func (h *holder) serviceCPUs(x *holding) float64 {
+	sum := 0.0
+	for _, ref := range refs(x.attempts) {
+		if a := x.attempts[ref]; a.live() && a.job.Kind == protocol.KindService {
+			sum += a.job.CPUs
+		}
+	}
+	return sum
+}
+
 // has reports whether a machine still lists an earlier attempt that is not
 // reaped; a start of another attempt would be refused.
 func (h *holder) has(x *holding, j *bookkeeping.Job) bool {
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -275,6 +275,36 @@
 	return n
 }
 
+// movable reports whether everything on a machine that does not end by itself
+// finds room on others, with the spare room that is kept still there.
+func (s *sizing) movable(m *bookkeeping.Machine, jobs func(bookkeeping.TaskRef) *bookkeeping.Job, spares []demand) bool {
+	var rest []*supply
+	for _, x := range s.supply {
+		if x.taking && x.m != nil && x.m != m && x.ready && x.shard == m.Shard {
+			c := *x
+			rest = append(rest, &c)
+		}
+	}
+	after := &sizing{types: s.types, fits: s.fits, supply: rest}
+	for _, ref := range refs(m.Intents) {
+		j := jobs(ref)
+		if j.Over() {
+			continue
+		}
+		if j.Kind != protocol.KindService || j.OneZone || j.Spread && j.Tasks > 1 {
+			return false
+		}
+		d := demand{j, m.Shard, 1}
+		for _, x := range rest {
+			after.fill(x, &d)
+		}
+		if d.count > 0 {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(spares, func(d demand) bool { return d.shard == m.Shard && after.spareFor(d, nil) < d.count })
+}
+
 // spares lists the services whose next replicas must find room at once: one
 // entry for every shape of running service, with the number of replicas.
 // Those on machines that have fallen silent or that the cloud takes come on top,
