Refuse a machine for one task's leftover only; never stop a service for a guarantee

Cause: an ended task that waited to be reaped kept every task of its job off that machine, while room was still made there for them: one task was preempted 30 times in 3 s.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -657,7 +657,7 @@
 			if a.state != taskRunning || a.stop || a.job.Kind != protocol.KindService {
 				continue
 			}
-			to := h.choose(machines, a.job, nil, now)
+			to := h.choose(machines, a.job, a.task, nil, now)
 			if to == nil {
 				continue
 			}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -139,7 +139,7 @@
 			if !h.underLimit(w.job) {
 				break
 			}
-			if x := h.choose(machines, w.job, promised, now); x != nil {
+			if x := h.choose(machines, w.job, task, promised, now); x != nil {
 				h.plan(w.job, task, x, h.nextTry(x), now)
 				continue
 			}
@@ -182,7 +182,7 @@
 	var planned []*attempt
 	var try uint64
 	for task := h.nextOpen(j, w.prog); task >= 0; task = h.nextOpen(j, w.prog) {
-		x := h.choose(machines, j, promised, now)
+		x := h.choose(machines, j, task, promised, now)
 		if x == nil || !h.underLimit(j) {
 			for _, a := range planned {
 				h.remove(a)
@@ -272,7 +272,7 @@
 
 // choose picks the machine for a task: spot before ordinary where the job
 // allows it, one that has the image, then the fullest, so that others empty.
-func (h *holder) choose(machines []*holding, j *bookkeeping.Job, promised map[*holding]*room, now time.Duration) *holding {
+func (h *holder) choose(machines []*holding, j *bookkeeping.Job, task int, promised map[*holding]*room, now time.Duration) *holding {
 	var best *holding
 	var bestScore float64
 	most := int(h.n.Settings.Cluster.State.ValueKB * 1024 / 64)
@@ -280,7 +280,7 @@
 		if promised[x] != nil || !h.usable(x, now) || len(x.attempts) >= most || !h.allowed(x, j) || !h.free(x).fits(j) {
 			continue
 		}
-		if h.has(x, j) {
+		if has(x, j, task) {
 			continue
 		}
 		score := 0.0
@@ -316,15 +316,11 @@
 	return sum
 }
 
-// has reports whether a machine still lists an earlier attempt that is not
-// reaped; a start of another attempt would be refused.
-func (h *holder) has(x *holding, j *bookkeeping.Job) bool {
-	for _, t := range x.extras {
-		if id, _, err := protocol.SplitTask(t.Task); err == nil && id == j.ID {
-			return true
-		}
-	}
-	return false
+// has reports whether a machine still lists an earlier attempt at a task that is
+// not reaped; a start of another attempt would be refused.
+func has(x *holding, j *bookkeeping.Job, task int) bool {
+	name := protocol.TaskName(j.ID, task)
+	return slices.ContainsFunc(x.extras, func(t protocol.TaskStatus) bool { return t.Task == name })
 }
 
 // mayStop reports whether work may be stopped to make room for a waiting job.
@@ -332,9 +328,10 @@
 	if a.job.Rank() > w.job.Rank() {
 		return true
 	}
-	// Guaranteed share comes before what another team has borrowed, but a
-	// service is never stopped for batch work.
-	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Kind == protocol.KindService && w.job.Kind != protocol.KindService {
+	// Guaranteed share comes before what another team has borrowed. A service is
+	// never stopped for it: not for batch work, and one for another gains nobody
+	// anything, least of all when machines are lost and they take turns.
+	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Kind == protocol.KindService {
 		return false
 	}
 	t := &h.n.book.Teams[a.job.TeamIdx]
