--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -137,5 +137,5 @@
 	if o.SilentS > 0 {
 		return seconds(o.SilentS)
 	}
-	return w.Lease() * 2 / 3
+	return min(w.Lease(), 30*time.Second)
 }
