--- a/deploy/options.hcl
+++ b/deploy/options.hcl
@@ -6,7 +6,7 @@
 rent_window_s = 1
 # How long the cheapest kind of machine is idle enough before it drains; dearer
 # ones drain sooner in proportion to their price (0 to 3600).
-give_window_s = 45
+give_window_s = 25
 # Booked share of a machine's CPUs below which it counts as idle (0 to 1).
 give_below = 0.3
 # Machines never given back, and machines at most (0 and 1 to 100000).
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -30,7 +30,7 @@
 // DefaultOptions are used where the operators' file says nothing.
 func DefaultOptions() Options {
 	return Options{
-		CycleS: 1, RentWindowS: 1, GiveWindowS: 45, GiveBelow: 0.3,
+		CycleS: 1, RentWindowS: 1, GiveWindowS: 25, GiveBelow: 0.3,
 		FleetMin: 0, FleetMax: 500, CallsPerTurn: 2, BootPatience: 2.5, ServiceSpare: 4, RentPatience: 2, HomeTeams: 8,
 	}
 }
