--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -316,6 +316,7 @@
 		reply(comeBack("no holder yet"))
 		return
 	}
+	n.Log.Debug("redirect", "machine", r.Machine, "to", g.Node)
 	reply(Answer{Status: http.StatusMisdirectedRequest, Body: protocol.Redirect{Boss: g.Node}})
 }
 
