Hand shards over at a graceful end; a job that fails on several machines is not their fault

Cause: a controller told to end left its shards to run out; three errors in a row of one broken job had healthy machines drained. Unused peer messages are gone.

--- a/internal/coordination/grant.go
+++ b/internal/coordination/grant.go
@@ -20,6 +20,7 @@
 	heard       time.Duration
 	first       time.Duration // since when it has been heard without a gap
 	fresh       bool
+	left        bool // it ended by itself and gave up what it held
 	notes       map[string]machineInfo
 }
 
@@ -35,7 +36,7 @@
 	}
 	p := &protocol.Ping{
 		Node: n.Settings.Node, Incarnation: n.incarnation, SentAt: n.now(), Term: n.book.Leader.Term,
-		FreshFor: n.now() - n.freshAt, Machines: n.hold.notes(),
+		FreshFor: n.now() - n.freshAt, Leaving: n.stopped, Machines: n.hold.notes(),
 	}
 	for _, name := range slices.Sorted(maps.Keys(n.strangers)) {
 		p.Strangers = append(p.Strangers, n.strangers[name])
@@ -101,6 +102,7 @@
 		info.first = now
 	}
 	info.heard, info.fresh = now, p.FreshFor < n.authority/2
+	info.left = p.Leaving
 	info.notes = make(map[string]machineInfo, len(p.Machines))
 	for _, m := range p.Machines {
 		info.notes[m.Name] = machineInfo{m, now}
@@ -123,7 +125,7 @@
 	n := l.n
 	now := n.now()
 	alive := func(node string) *peerInfo {
-		if p := l.peers[node]; p != nil && now-p.heard < aliveFor {
+		if p := l.peers[node]; p != nil && !p.left && now-p.heard < aliveFor {
 			return p
 		}
 		return nil
@@ -154,6 +156,8 @@
 			if all || now-l.since > 2*time.Second {
 				to = l.best(s, held)
 			}
+		case p != nil && p.left && p.incarnation == g.Incarnation:
+			to = l.best(s, held)
 		case p != nil && now-p.heard < aliveFor && p.incarnation > g.Incarnation:
 			// The holder has restarted and declared its former self over.
 			to = g.Node
@@ -187,7 +191,7 @@
 	best, cost := "", 0
 	for i, node := range n.nodes {
 		p := l.peers[node]
-		if p == nil || now-p.heard >= aliveFor {
+		if p == nil || p.left || now-p.heard >= aliveFor {
 			continue
 		}
 		c := held[node]*100 + (i+len(n.nodes)-shard)%len(n.nodes)
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -101,15 +101,16 @@
 
 // progress is what the home knows about a job beyond its record.
 type progress struct {
-	done    bookkeeping.Bits // settled as done here, durable or not
-	doneN   int
-	next    int // no task below it waits to be placed
-	writing bool
-	wroteAt uint64
-	retryAt time.Duration
-	dirtyAt time.Duration
-	fails   int
-	backoff time.Duration // no starts before
+	done     bookkeeping.Bits // settled as done here, durable or not
+	doneN    int
+	next     int // no task below it waits to be placed
+	writing  bool
+	wroteAt  uint64
+	retryAt  time.Duration
+	dirtyAt  time.Duration
+	fails    int
+	failedOn map[string]bool // machines on which tasks of the job failed
+	backoff  time.Duration   // no starts before
 }
 
 func newHolder(n *Node) *holder {
@@ -399,13 +400,20 @@
 	p := h.progress(a.job)
 	switch t.Cause {
 	case protocol.CauseDone:
-		x.errors, p.fails = 0, 0
+		x.errors, p.fails, p.failedOn = 0, 0, nil
 	case protocol.CauseError:
-		x.errors++
 		p.fails++
+		if p.failedOn == nil {
+			p.failedOn = map[string]bool{}
+		}
+		p.failedOn[x.m.Name] = true
 		// A faulty machine fails whatever it is given; a faulty job fails
-		// wherever it is. Both are tried again ever more slowly.
-		x.avoid = now + time.Duration(min(x.errors, 6))*10*time.Second
+		// wherever it is, and after the second machine the fault is taken to be
+		// the job's. Both are tried again ever more slowly.
+		if len(p.failedOn) < 3 {
+			x.errors++
+			x.avoid = now + time.Duration(min(x.errors, 6))*10*time.Second
+		}
 		p.backoff = now + min(time.Duration(1<<min(p.fails, 6))*250*time.Millisecond, 20*time.Second)
 		n.Log.Info("task failed", "task", t.Task, "machine", x.m.Name, "errors", x.errors, "fails", p.fails)
 	case protocol.CauseFull, protocol.CauseInUse:
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -109,7 +109,6 @@
 	grantedAt  []time.Duration // by shard: when the grant in force was first seen
 
 	hold      *holder
-	handed    map[string]time.Duration // machines sent away, and when
 	strangers map[string]protocol.Report
 	stopped   bool
 }
@@ -154,12 +153,14 @@
 	n.Clock.After(pingEvery, ping)
 }
 
-// Stop surrenders leadership; the grants follow because a stopped node sends no
-// more pings. done is called once the state service knows, or gave no answer.
+// Stop ends the node's part in the service: it acts for no shard any more, tells
+// the leader so, or gives up the leadership. done is called once that is known,
+// or got no answer.
 func (n *Node) Stop(done func()) {
 	n.stopped = true
 	if n.lead == nil {
-		done()
+		n.ping()
+		n.Clock.After(300*time.Millisecond, done)
 		return
 	}
 	lease := n.lead.lease
@@ -185,7 +186,6 @@
 	n.claims = map[uint64]bool{}
 	n.leaseUntil = make([]time.Duration, n.shards)
 	n.grantedAt = make([]time.Duration, n.shards)
-	n.handed = map[string]time.Duration{}
 	n.strangers = map[string]protocol.Report{}
 	n.hold = newHolder(n)
 	n.load("", 0, 0)
@@ -328,7 +328,7 @@
 // that renewing a worker's lease can't outlast the time for cancelling.
 func (n *Node) entitled(shard int) bool {
 	now := n.now()
-	return n.ready && n.holds(shard) && now < n.leaseUntil[shard] && now-n.freshAt < n.authority
+	return n.ready && !n.stopped && n.holds(shard) && now < n.leaseUntil[shard] && now-n.freshAt < n.authority
 }
 
 func (n *Node) tick() {
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -10,9 +10,9 @@
 	SentAt      time.Duration // sender's own clock, handed back in the Pong
 	Term        uint64        // term the sender believes in
 	FreshFor    time.Duration // how old the sender's knowledge of the state service is
+	Leaving     bool          // it ends now and gives up what it holds
 	Machines    []MachineNote // machines it holds
 	Strangers   []Report      // machines that reported to it and that no record names
-	Handed      []HandedNote  // machines of others that keep turning up here
 }
 
 // MachineNote is a holder's view of one machine.
@@ -25,12 +25,6 @@
 	Leaves bool // the cloud will take it
 }
 
-// HandedNote counts the reports a controller had to send away.
-type HandedNote struct {
-	Shard   int
-	Machine string
-}
-
 // Pong is the leader's answer: the sender's grants hold for another block
 // lease, counted from when the Ping was sent.
 type Pong struct {
@@ -40,23 +34,13 @@
 	Shards []int // shards confirmed
 }
 
-// Relay hands a worker's report to the controller that holds the machine.
-type Relay struct{ Report Report }
-
-// RelayAnswer is the holder's answer to a relayed report.
-type RelayAnswer struct {
-	OK     bool
-	Orders Orders
-}
-
-// PeerRequest is one message on the link between controllers; one field is set.
+// PeerRequest is one message on the link between controllers; later kinds are
+// further fields.
 type PeerRequest struct {
-	Ping  *Ping
-	Relay *Relay
+	Ping *Ping
 }
 
 // PeerAnswer answers a PeerRequest.
 type PeerAnswer struct {
-	Pong  *Pong
-	Relay *RelayAnswer
+	Pong *Pong
 }
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -282,6 +282,13 @@
 		}
 		h := s.host(w, w.arg(0))
 		return h.crash
+	case "stop":
+		h := s.host(w, w.arg(0))
+		return func() {
+			if p := h.p; p != nil {
+				p.node.Stop(h.crash)
+			}
+		}
 	case "start":
 		if w.arg(0) == "all" {
 			return func() {
