--- a/internal/bookkeeping/table.go
+++ b/internal/bookkeeping/table.go
@@ -41,9 +41,6 @@
 	return n.names[id]
 }
 
-// Len returns how many names there are.
-func (n *Names) Len() int { return len(n.names) }
-
 // Table holds rows under dense indices. The index of a removed row is used
 // again.
 type Table[T any] struct {
@@ -105,9 +102,6 @@
 	}
 }
 
-// Len returns how many rows there are.
-func (t *Table[T]) Len() int { return len(t.ids) }
-
 // Bits is a set of task numbers.
 type Bits []byte
 
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -276,6 +276,12 @@
 	var best *holding
 	var bestScore float64
 	most := int(h.n.Settings.Cluster.State.ValueKB * 1024 / 64)
+	services := 0.0
+	if j.Kind == protocol.KindService {
+		for _, x := range machines {
+			services += h.serviceCPUs(x)
+		}
+	}
 	for _, x := range machines {
 		if promised[x] != nil || !h.usable(x, now) || len(x.attempts) >= most || !h.allowed(x, j) || !h.free(x).fits(j) {
 			continue
@@ -294,7 +300,12 @@
 		if j.Kind == protocol.KindService {
 			// Beside other services: one alone would keep a machine that was
 			// rented for a burst of other work from going back.
-			score += 50 * h.serviceCPUs(x) / t.CPUs
+			// But not all on one, which may die with them.
+			here := h.serviceCPUs(x)
+			score += 50 * here / t.CPUs
+			if here+j.CPUs > services/4 && here > 0 {
+				score -= 120
+			}
 		} else {
 			score += 50 * x.cpus / t.CPUs
 		}
