Find machines that are much slower than others, avoid and return them

Cause: only failing machines were found faulty; a slow one kept the tail of arrays. A machine's pace is measured against the run times of the same job elsewhere, as owners' estimates are off by half. Test: slow_machine, shown to fail without it.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -83,6 +83,8 @@
 
 	images map[int]time.Duration // when an image was last wanted here
 	errors int                   // in a row
+	pace   float64               // run times here by those of the same jobs elsewhere
+	paced  int                   // completed tasks that pace rests on
 	avoid  time.Duration         // no new tasks before
 }
 
@@ -109,6 +111,8 @@
 	retryAt  time.Duration
 	dirtyAt  time.Duration
 	fails    int
+	runs     int             // completed tasks with a known run time
+	runSum   float64         // seconds
 	failedOn map[string]bool // machines on which tasks of the job failed
 	backoff  time.Duration   // no starts before
 }
@@ -401,6 +405,9 @@
 	switch t.Cause {
 	case protocol.CauseDone:
 		x.errors, p.fails, p.failedOn = 0, 0, nil
+		if a.ran > 0 {
+			x.measure(p, (now - a.ran).Seconds())
+		}
 	case protocol.CauseError:
 		p.fails++
 		if p.failedOn == nil {
@@ -426,6 +433,24 @@
 	h.end(a, t.Cause)
 }
 
+// measure compares a completed task's run time with those of its own job: the
+// owners' estimates are too often wrong to tell a slow machine by.
+func (x *holding) measure(p *progress, took float64) {
+	if p.runs >= 2 && p.runSum > 0 {
+		ratio := took / (p.runSum / float64(p.runs))
+		if x.paced == 0 {
+			x.pace = 1
+		}
+		x.pace += (ratio - x.pace) * 0.3
+		x.paced++
+	}
+	p.runs++
+	p.runSum += took
+}
+
+// slow reports whether a machine has shown to be much slower than others.
+func (x *holding) slow() bool { return x.paced >= 4 && x.pace > 1.6 }
+
 // orders works out the difference between what should be on a machine and what
 // its last report showed.
 func (h *holder) orders(x *holding) []protocol.Command {
@@ -850,7 +875,7 @@
 			continue
 		}
 		notes = append(notes, protocol.MachineNote{
-			Name: x.m.Name, Seen: x.fenced, Silent: now - x.heard, Tasks: len(x.attempts), Faulty: x.errors >= 3, Leaves: x.notice > 0,
+			Name: x.m.Name, Seen: x.fenced, Silent: now - x.heard, Tasks: len(x.attempts), Faulty: x.errors >= 3 || x.slow(), Leaves: x.notice > 0,
 		})
 	}
 	return notes
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -290,6 +290,9 @@
 			continue
 		}
 		score := 0.0
+		if x.slow() {
+			score -= 5000 // only where there is nothing else
+		}
 		if x.m.Spot {
 			score += 1000
 		}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -466,6 +466,10 @@
 		if least := w.num("least", 0); float64(n) < least {
 			return fmt.Sprintf("there are %d", n)
 		}
+	case "gone":
+		if r := s.cloud.find(w.arg(0)); r == nil || !r.gone {
+			return "it is still there"
+		}
 	case "rented":
 		if most := w.num("most", math.Inf(1)); float64(len(s.cloud.rented)) > most {
 			return fmt.Sprintf("there were %d", len(s.cloud.rented))
