--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -308,7 +308,10 @@
 	n.State.Txn(protocol.Txn{
 		If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.MachineKey(m.Name), Version: m.Version}},
 		Then: []protocol.Op{{Delete: bookkeeping.MachineKey(m.Name)}},
-	}, func(uint64, error) { delete(f.writing, m.Name) })
+	}, func(uint64, error) {
+		delete(f.writing, m.Name)
+		delete(f.waitTo, m.Name)
+	})
 }
 
 // tidy moves machines along: drained ones that are empty go back, silent,
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -51,6 +51,7 @@
 	usual := l.Limit()
 	phase(40, 10*time.Millisecond, 8*time.Second)
 	narrow := l.Limit()
+	t.Logf("limit: usual %d, narrow %d", usual, narrow)
 	if narrow >= usual {
 		t.Errorf("times rose and the limit went from %d to %d", usual, narrow)
 	}
