--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -544,6 +544,7 @@
 	})
 }
 
+// promised is a machine that was asked for or rented and has no record yet.
 func (f *fleet) promised(typ, zone string, spot bool, shard int) *supply {
 	n := f.l.n
 	i := n.book.TypeID(typ)
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -508,8 +508,8 @@
 	return l.age(m).Seconds() > boot*l.n.Options.BootPatience+5
 }
 
-// within is a helper for windows: it keeps since at the time a condition began
-// to hold and reports whether it has held for the window.
+// held keeps since at the time when a condition began to hold, and reports
+// whether it has held for the whole window.
 func held(cond bool, since *time.Duration, now, window time.Duration) bool {
 	if !cond {
 		*since = 0
@@ -523,7 +523,7 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// bounds keeps the option struct's figures as durations.
+// bounds are the options' windows.
 type bounds struct{ cycle, rent, give time.Duration }
 
 func boundsOf(o config.Options) bounds {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"rockrun/internal/bookkeeping"
@@ -25,9 +26,9 @@
 	return Answer{Status: http.StatusServiceUnavailable, Body: protocol.Problem{Error: what}, RetryAfter: time.Second}
 }
 
-const (
-	maxFinals = 20_000 // final states remembered; the rest are read when asked for
-)
+// maxFinals is how many final states are remembered; others are read when asked
+// for.
+const maxFinals = 20_000
 
 func (n *Node) remember(id string, f bookkeeping.FinalRecord) {
 	if len(n.finals) >= maxFinals {
@@ -119,7 +120,7 @@
 		if t.CPUs <= 0 || s.CPUs > t.CPUs || s.GPUs > t.GPUs || s.MemoryGB > t.MemoryGB {
 			continue
 		}
-		if len(s.Types) > 0 && !contains(s.Types, t.Name) || s.Zone != "" && !contains(t.Zones, s.Zone) {
+		if len(s.Types) > 0 && !slices.Contains(s.Types, t.Name) || s.Zone != "" && !slices.Contains(t.Zones, s.Zone) {
 			continue
 		}
 		fits = true
@@ -141,15 +142,6 @@
 // over reports whether an amount exceeds a limit; 0 is no limit.
 func over(amount, limit float64) bool { return limit > 0 && amount > limit+1e-6 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // lookup finds out what has become of a job by a consistent read; nil without
 // an error means that it was never accepted. An unfinished job's record is read
 // before the final one, because a job moves from the first to the second.
