Join doubled code: windows, prices, what suits a machine, room that is made

The sizer kept three windows by hand, chose a pool's price and checked type, zone and kind in several places, computed promised room twice and listed the fleet once too often; notes and fields that nothing read are gone, and so is an unused call.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -376,6 +376,12 @@
 		(len(j.TypeIdx) == 0 || slices.Contains(j.TypeIdx, typ))
 }
 
+// Suits reports whether j's owner allows a machine for its tasks, and it is
+// large enough for one.
+func (b *Book) Suits(j *Job, m *Machine) bool {
+	return (!m.Spot || j.Spot) && (j.ZoneIdx < 0 || j.ZoneIdx == m.ZoneIdx) && b.Fits(j, m.TypeIdx)
+}
+
 // eps absorbs rounding in sums of decimal amounts.
 const eps = 1e-6
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -41,9 +41,9 @@
 
 	cycleAt      time.Duration
 	blockedSince time.Duration
-	idleSince    map[string]time.Duration // by machine
-	movableSince map[string]time.Duration
-	drainSince   map[string]time.Duration
+	idleSince    windows
+	movableSince windows
+	drainSince   windows
 	history      []Decision
 
 	targeting bool
@@ -67,7 +67,7 @@
 func newFleet(l *leadership) *fleet {
 	return &fleet{
 		l: l, bounds: boundsOf(l.n.Options), refusedAt: map[pool]refusal{},
-		idleSince: map[string]time.Duration{}, movableSince: map[string]time.Duration{}, drainSince: map[string]time.Duration{},
+		idleSince: windows{}, movableSince: windows{}, drainSince: windows{},
 		wanted: map[string]bookkeeping.MachineRecord{}, writing: map[string]bool{}, waitTo: map[string]uint64{},
 	}
 }
@@ -492,7 +492,7 @@
 	s.max = n.Options.FleetMax - len(list)
 	s.calls = max(0, n.Options.CallsPerTurn-len(f.asks))
 	left := s.unmet()
-	spares := l.spares(l.supplies())
+	spares := l.spares(list)
 	for _, d := range spares {
 		if d.count -= s.spareFor(d, nil); d.count > 0 {
 			left = append(left, d)
@@ -562,9 +562,7 @@
 			continue
 		}
 		note, known := f.l.note(x.m)
-		since := f.drainSince[x.m.Name]
-		stuck := held(x.service, &since, now, 30*time.Second) // its replicas find no place after all
-		f.drainSince[x.m.Name] = since
+		stuck := f.drainSince.held(x.m.Name, x.service, now, 30*time.Second) // its replicas find no place after all
 		if (blocked || stuck) && !(known && (note.Faulty || note.Leaves)) {
 			delete(f.drainSince, x.m.Name)
 			rec := x.m.MachineRecord
@@ -578,16 +576,11 @@
 	// fleet's share up while whole machines beside them stand empty.
 	var idle []*supply
 	for _, x := range list {
-		share := 1 - x.free.cpus/max(n.book.Types[x.typ].CPUs, 1e-9)
-		since := f.idleSince[x.m.Name]
-		if held(!blocked && x.ready && x.taking && !x.service && share < n.Options.GiveBelow, &since, now, f.window(x)) &&
+		low := !blocked && x.ready && x.taking && !x.service && x.booked(n.book.Types) < n.Options.GiveBelow
+		if f.idleSince.held(x.m.Name, low, now, f.window(x)) &&
 			!slices.ContainsFunc(spares, func(d demand) bool { return s.suits(x, d.job) && s.spareFor(d, x.m) < d.count }) {
 			idle = append(idle, x)
 		}
-		f.idleSince[x.m.Name] = since
-		if since == 0 {
-			delete(f.idleSince, x.m.Name)
-		}
 	}
 	if draining > 0 || len(list) <= n.Options.FleetMin {
 		return
@@ -602,17 +595,12 @@
 	var best *supply
 	save := 0.0
 	for _, x := range list {
-		since := f.movableSince[x.m.Name]
 		ok := !blocked && x.ready && x.taking && x.service && s.movable(x.m, func(r bookkeeping.TaskRef) *bookkeeping.Job { return n.book.Jobs.Get(r.Job) }, spares)
-		if held(ok, &since, now, f.give) {
+		if f.movableSince.held(x.m.Name, ok, now, f.give) {
 			if v := n.book.Types[x.typ].Price / float64(len(x.m.Intents)); best == nil || v > save {
 				best, save = x, v
 			}
 		}
-		f.movableSince[x.m.Name] = since
-		if since == 0 {
-			delete(f.movableSince, x.m.Name)
-		}
 	}
 	if best != nil {
 		clear(f.movableSince)
@@ -633,14 +621,11 @@
 		}
 	}
 	t := &n.book.Types[x.typ]
-	price := t.Price
-	if x.spot {
-		price = t.SpotPrice
-	}
-	if price <= 0 || t.CPUs <= 0 {
+	hourly := price(t, x.spot)
+	if hourly <= 0 || t.CPUs <= 0 {
 		return f.give
 	}
-	return time.Duration(float64(f.give) * min(1, cheapest*t.CPUs/price))
+	return time.Duration(float64(f.give) * min(1, cheapest*t.CPUs/hourly))
 }
 
 // move hands idle machines of other homes to those that wait.
@@ -656,7 +641,7 @@
 	for _, d := range left {
 		n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
 			if d.count <= 0 || m.Version == 0 || m.Phase != bookkeeping.PhaseActive || len(m.Intents) > 0 || m.Shard == d.shard || needs[m.Shard] ||
-				m.Spot && !d.job.Spot || d.job.ZoneIdx >= 0 && d.job.ZoneIdx != m.ZoneIdx || !n.book.Fits(d.job, m.TypeIdx) || f.writing[m.Name] {
+				!n.book.Suits(d.job, m) || f.writing[m.Name] {
 				return
 			}
 			d.count -= holds(&n.book.Types[m.TypeIdx], d.job)
--- a/internal/coordination/grant.go
+++ b/internal/coordination/grant.go
@@ -18,15 +18,9 @@
 type peerInfo struct {
 	incarnation uint64
 	heard       time.Duration
-	first       time.Duration // since when it has been heard without a gap
 	fresh       bool
 	left        bool // it ended by itself and gave up what it held
-	notes       map[string]machineInfo
-}
-
-type machineInfo struct {
-	protocol.MachineNote
-	at time.Duration
+	notes       map[string]protocol.MachineNote
 }
 
 // ping tells the leader about this node. The leader tells itself.
@@ -90,22 +84,18 @@
 	}
 	info := l.peers[p.Node]
 	if info == nil {
-		info = &peerInfo{incarnation: p.Incarnation, first: now}
+		info = &peerInfo{}
 		l.peers[p.Node] = info
 	}
 	if p.Incarnation < info.incarnation {
 		return &protocol.Pong{} // a late copy from an incarnation that is over
 	}
-	if info.incarnation != p.Incarnation {
-		info.incarnation, info.first = p.Incarnation, now
-	} else if now-info.heard > aliveFor {
-		info.first = now
-	}
+	info.incarnation = p.Incarnation
 	info.heard, info.fresh = now, p.FreshFor < n.authority/2
 	info.left = p.Leaving
-	info.notes = make(map[string]machineInfo, len(p.Machines))
+	info.notes = make(map[string]protocol.MachineNote, len(p.Machines))
 	for _, m := range p.Machines {
-		info.notes[m.Name] = machineInfo{m, now}
+		info.notes[m.Name] = m
 	}
 	for i := range p.Strangers {
 		l.fleet.stranger(&p.Strangers[i])
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -212,7 +212,7 @@
 // hold everything that its jobs may be on, or it would not count it.
 func (h *holder) allowed(x *holding, j *bookkeeping.Job) bool {
 	n := h.n
-	if x.shard != n.book.Home(j) || x.m.Spot && !j.Spot || j.ZoneIdx >= 0 && j.ZoneIdx != x.m.ZoneIdx || !n.book.Fits(j, x.m.TypeIdx) {
+	if x.shard != n.book.Home(j) || !n.book.Suits(j, x.m) {
 		return false
 	}
 	if !j.OneZone && !j.Spread {
@@ -357,6 +357,7 @@
 func (h *holder) makeRoom(machines []*holding, w waiting, promised map[*holding]*room, now time.Duration) bool {
 	var best *holding
 	var victims []*attempt
+	var left room // on the best, with its victims gone
 	bestCost := 0.0
 	for _, x := range machines {
 		if !h.usable(x, now) || !h.allowed(x, w.job) {
@@ -395,31 +396,20 @@
 			continue
 		}
 		if best == nil || cost < bestCost {
-			best, victims, bestCost = x, chosen, cost
+			best, victims, left, bestCost = x, chosen, r, cost
 		}
 	}
 	if best == nil {
 		return false
 	}
-	r := promised[best]
-	if r == nil {
-		f := h.free(best)
-		r = &f
-		for _, a := range best.attempts {
-			if a.live() && a.stop {
-				r.leave(a.job)
-			}
-		}
-		promised[best] = r
-	}
 	for _, a := range victims {
-		r.leave(a.job)
 		a.stop, a.halted = true, 0
 		if a.job.CheckpointS > 0 {
 			a.grace = a.job.SaveS
 		}
 		h.n.Log.Info("preempt", "job", a.job.ID, "task", a.task, "machine", best.m.Name, "for", w.job.ID)
 	}
-	r.take(w.job)
+	left.take(w.job)
+	promised[best] = &left
 	return true
 }
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -211,6 +211,16 @@
 	}
 }
 
+// price is what a machine of a type costs an hour.
+func price(t *protocol.MachineType, spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
+// cheapest is the pool in which a task of a demand costs least, and how many a
+// machine there holds.
 func (s *sizing) cheapest(d demand) (best pool, per int, ok bool) {
 	bestCost := math.Inf(1)
 	for typ := range s.types {
@@ -228,16 +238,12 @@
 				continue
 			}
 			for _, spot := range []bool{true, false} {
-				price := t.Price
-				if spot {
-					price = t.SpotPrice
-				}
 				p := pool{typ, z, spot}
 				if spot && !d.job.Spot || s.refused(p) {
 					continue
 				}
 				// A machine far larger than what waits is paid for idle.
-				cost := price / float64(min(n, d.count))
+				cost := price(t, spot) / float64(min(n, d.count))
 				if cost < bestCost-1e-9 {
 					best, per, bestCost, ok = p, n, cost, true
 				}
@@ -367,19 +373,19 @@
 	return out
 }
 
-// giveBack picks the machine to drain: the least booked one without services.
-func giveBack(list []*supply, types []protocol.MachineType) *supply {
-	var best *supply
-	booked := func(x *supply) float64 { return 1 - x.free.cpus/max(types[x.typ].CPUs, 1e-9) }
-	for _, x := range list {
-		if !x.ready || !x.taking || x.service {
-			continue
-		}
-		if best == nil || cmp.Or(cmp.Compare(booked(x), booked(best)), cmp.Compare(x.m.Name, best.m.Name)) < 0 {
-			best = x
-		}
+// booked is the booked part of a machine's CPUs.
+func (x *supply) booked(types []protocol.MachineType) float64 {
+	return 1 - x.free.cpus/max(types[x.typ].CPUs, 1e-9)
+}
+
+// giveBack picks the machine to drain among idle ones: the least booked.
+func giveBack(idle []*supply, types []protocol.MachineType) *supply {
+	if len(idle) == 0 {
+		return nil
 	}
-	return best
+	return slices.MinFunc(idle, func(a, b *supply) int {
+		return cmp.Or(cmp.Compare(a.booked(types), b.booked(types)), cmp.Compare(a.m.Name, b.m.Name))
+	})
 }
 
 // bookedShare is the booked part of the fleet's CPUs.
@@ -487,11 +493,11 @@
 }
 
 // note is what the holder of a machine last said of it.
-func (l *leadership) note(m *bookkeeping.Machine) (machineInfo, bool) {
+func (l *leadership) note(m *bookkeeping.Machine) (protocol.MachineNote, bool) {
 	g := &l.n.book.Grants[m.Shard]
 	p := l.peers[g.Node]
 	if p == nil || p.incarnation != g.Incarnation {
-		return machineInfo{}, false
+		return protocol.MachineNote{}, false
 	}
 	i, ok := p.notes[m.Name]
 	return i, ok
@@ -508,6 +514,21 @@
 	return l.age(m).Seconds() > boot*l.n.Options.BootPatience+5
 }
 
+// windows keeps since when a condition has held, by machine.
+type windows map[string]time.Duration
+
+// held reports whether a machine's condition has held for the whole window.
+func (w windows) held(name string, cond bool, now, window time.Duration) bool {
+	since := w[name]
+	ok := held(cond, &since, now, window)
+	if since == 0 {
+		delete(w, name)
+	} else {
+		w[name] = since
+	}
+	return ok
+}
+
 // held keeps since at the time when a condition began to hold, and reports
 // whether it has held for the whole window.
 func held(cond bool, since *time.Duration, now, window time.Duration) bool {
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -200,15 +200,3 @@
 	r, err = ParseReport(answer)
 	return r, status == http.StatusOK, err
 }
-
-// Inspect asks a worker for its report.
-func (c *WorkerClient) Inspect(addr string) (*Report, error) {
-	status, answer, err := c.HTTP.Call(http.MethodGet, addr, "/inspect", nil, c.Timeout)
-	if err != nil {
-		return nil, fmt.Errorf("%w: inspect %s: %v", ErrUnknown, addr, err)
-	}
-	if status != http.StatusOK {
-		return nil, refused("inspect", status, answer)
-	}
-	return ParseReport(answer)
-}
