--- a/deploy/options.hcl
+++ b/deploy/options.hcl
@@ -11,7 +11,7 @@
 give_below = 0.3
 # Machines never given back, and machines at most (0 and 1 to 100000).
 fleet_min = 0
-fleet_max = 500
+fleet_max = 10000
 # Cloud calls for rentals a cycle at most (1 to 20).
 calls_per_cycle = 2
 # Multiples of a type's boot time after which a boot counts as failed (1.5 to 20).
@@ -23,8 +23,10 @@
 service_spare = 4
 # A holder's lease on its machines; 0 derives it from the workers' lease (0 to 600).
 block_lease_s = 0
-# Teams that share one home controller before the next is used (1 to 10000).
-home_teams = 8
+# Homes among which the work is split, settled when the cluster first starts; 0
+# makes it one for three controllers and one more for each further controller
+# (0 to 1000).
+homes = 0
 # Silence after which a running machine is replaced; 0 derives it from the
 # workers' lease (0 to 3600).
 silent_s = 0
--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,7 +14,7 @@
 // TaskRef names a task by indices.
 type TaskRef struct{ Job, Task int }
 
-// Job is an unfinished job, or one that is over while attempts remain.
+// Job is an unfinished job, or one that is over while something still names it.
 type Job struct {
 	protocol.Spec
 	Index    int
@@ -23,37 +24,75 @@
 	TypeIdx  []int // allowed machine types, nil for any
 	ZoneIdx  int   // -1 for any
 	ImageIdx int
+	Home     int  // shard that works on it, -1 while there are no homes
 	Done     Bits // durably completed
 	DoneN    int
-	DoneVer  map[int]uint64 // version of each record of completed tasks
-	Intended map[int]int    // tasks that intents name, with how many do
-	Refs     int            // attempts a holder still works on; they keep the index in use
+	DonePage map[int]int // page that holds a chunk of the completed tasks
+	Intended map[int]int // tasks that intents name, with how many do
+	Refs     int         // attempts and pages that name it; they keep the index in use
+
+	intendedOpen int // intended tasks that are not done
 }
 
 // Over reports whether the job is done or withdrawn.
 func (j *Job) Over() bool { return j.Version == 0 }
 
 // Open returns how many tasks are neither done nor named by an intent.
-func (j *Job) Open() int {
-	n := j.Tasks - j.DoneN
-	for task := range j.Intended {
-		if !j.Done.Has(task) {
-			n--
-		}
-	}
-	return max(n, 0)
+func (j *Job) Open() int { return max(j.Tasks-j.DoneN-j.intendedOpen, 0) }
+
+// Running returns how many tasks that are not done intents name.
+func (j *Job) Running() int { return j.intendedOpen }
+
+// Standing reports whether the job's tasks run until it is cancelled.
+func (j *Job) Standing() bool { return j.Kind == protocol.KindService }
+
+// Intent is an attempt that may be on a machine.
+type Intent struct {
+	Try   uint64
+	Page  int
+	count int // entries that say so
 }
 
 // Machine is a machine as the durable records tell of it.
 type Machine struct {
-	Name          string
-	Index         int
-	Version       uint64 // of the leader's record; 0 without one
-	MachineRecord        // last known
-	TypeIdx       int
-	ZoneIdx       int
-	Intents       map[TaskRef]uint64
-	IntentVersion uint64
+	Name    string
+	Index   int
+	Block   string // block it is in; none once no block names it
+	Addr    string
+	Type    string
+	Zone    string
+	Spot    bool
+	Shard   int
+	Token   uint64
+	Phase   string
+	Drain   uint64
+	AtMS    int64 // when it was rented
+	GoneMS  int64
+	TypeIdx int
+	ZoneIdx int
+	Intents map[TaskRef]Intent
+}
+
+// There reports whether a block names the machine and it is not deleted.
+func (m *Machine) There() bool { return m.Block != "" && m.Phase != PhaseGone }
+
+// Block is a block of machines.
+type Block struct {
+	BlockRecord
+	Version uint64
+}
+
+// intent is one entry of a page, with names turned into indices.
+type intent struct {
+	m   *Machine
+	ref TaskRef
+	try uint64
+}
+
+// pageOf is a page as last read.
+type pageOf[T any] struct {
+	version uint64
+	entries []T
 }
 
 // Grant is a shard's grant.
@@ -68,8 +107,12 @@
 	CPUs, CPUsMax float64
 	GPUs, GPUsMax float64
 	Guaranteed    bool
+	Shares        []int // thousandths by home; nil while not split
 }
 
+// Limited reports whether the team has a limit or a guarantee to be split.
+func (t *Team) Limited() bool { return t.CPUs > 0 || t.CPUsMax > 0 || t.GPUs > 0 || t.GPUsMax > 0 }
+
 // Book mirrors the durable records.
 type Book struct {
 	TeamNames, TypeNames, ZoneNames, ImageNames Names
@@ -79,10 +122,17 @@
 	TypesVer uint64
 	Jobs     Table[Job]
 	Machines Table[Machine]
+	Blocks   map[string]*Block
 	Grants   []Grant
-	Homes    []int // team to shard, -1 while it has none
+	Homes    int // shards that are homes; 0 while that is not settled
 	HomesVer uint64
 
+	SharesVer uint64
+	JobsSeen  uint64 // grows with every job that is read, for those who keep lists
+
+	intents map[PageID]*pageOf[intent]
+	done    map[PageID]*pageOf[*Job]
+
 	Leader    LeaderRecord
 	LeaderVer uint64
 	Term      uint64
@@ -93,10 +143,12 @@
 
 // NewBook makes an empty book for the given teams and number of shards.
 func NewBook(teams []Team, shards int) *Book {
-	b := &Book{Teams: teams, Grants: make([]Grant, shards)}
+	b := &Book{
+		Teams: teams, Grants: make([]Grant, shards), Blocks: map[string]*Block{},
+		intents: map[PageID]*pageOf[intent]{}, done: map[PageID]*pageOf[*Job]{},
+	}
 	for i, t := range teams {
 		b.TeamNames.ID(t.Name)
-		b.Homes = append(b.Homes, -1)
 		b.Teams[i].Guaranteed = t.CPUs > 0 || t.GPUs > 0
 	}
 	return b
@@ -149,15 +201,25 @@
 		}
 	case key == KeyHomes:
 		if version > b.HomesVer {
-			var r map[string]int
+			var r HomesRecord
+			if err := read(&r); err != nil {
+				return err
+			}
+			if r.Homes < 1 || r.Homes > len(b.Grants) {
+				return fmt.Errorf("record %s: %d homes", key, r.Homes)
+			}
+			b.Homes, b.HomesVer = r.Homes, version
+			b.Jobs.All(func(_ int, j *Job) { j.Home = b.homeOf(j) })
+		}
+	case key == KeyShares:
+		if version > b.SharesVer {
+			var r SharesRecord
 			if err := read(&r); err != nil {
 				return err
 			}
-			b.HomesVer = version
-			for team, shard := range r {
-				if i := b.TeamNames.Lookup(team); i >= 0 && i < len(b.Homes) && shard >= 0 && shard < len(b.Grants) {
-					b.Homes[i] = shard
-				}
+			b.SharesVer = version
+			for i := range b.Teams {
+				b.Teams[i].Shares = r[b.Teams[i].Name]
 			}
 		}
 	case strings.HasPrefix(key, preGrant):
@@ -172,24 +234,26 @@
 			}
 			b.Grants[i] = Grant{r, version}
 		}
-	case strings.HasPrefix(key, preMachine):
-		m := b.machine(key[len(preMachine):])
-		if version > m.Version {
-			var r MachineRecord
+	case strings.HasPrefix(key, preBlock):
+		id := key[len(preBlock):]
+		if old := b.Blocks[id]; old == nil || version > old.Version {
+			var r BlockRecord
 			if err := read(&r); err != nil {
 				return err
 			}
-			m.MachineRecord, m.Version = r, version
-			m.TypeIdx, m.ZoneIdx = b.TypeID(r.Type), b.ZoneNames.ID(r.Zone)
+			b.setBlock(id, r, version)
 		}
 	case strings.HasPrefix(key, preIntent):
-		m := b.machine(key[len(preIntent):])
-		if version > m.IntentVersion {
-			var r IntentRecord
+		id, ok := splitPage(key[len(preIntent):])
+		if !ok {
+			return fmt.Errorf("record %s: not understood", key)
+		}
+		if p := b.intents[id]; p == nil || version > p.version {
+			var r IntentPage
 			if err := read(&r); err != nil {
 				return err
 			}
-			return b.setIntents(m, r.Tasks, version)
+			return b.setIntents(id, r, version)
 		}
 	case strings.HasPrefix(key, preJob):
 		var r JobRecord
@@ -201,20 +265,16 @@
 			b.setJob(j, r, version)
 		}
 	case strings.HasPrefix(key, preDone):
-		id, chunk, ok := splitDone(key)
+		id, ok := splitPage(key[len(preDone):])
 		if !ok {
 			return fmt.Errorf("record %s: not understood", key)
 		}
-		// Records are read in the order of their keys, so this one can come
-		// before its job's; what it says is kept for the job either way.
-		j := b.job(id)
-		if version > j.DoneVer[chunk] {
-			var bits []byte
-			if err := read(&bits); err != nil {
+		if p := b.done[id]; p == nil || version > p.version {
+			var r DonePage
+			if err := read(&r); err != nil {
 				return err
 			}
-			j.DoneVer[chunk] = version
-			j.addDone(chunk, bits)
+			return b.setDone(id, r, version)
 		}
 	}
 	return nil
@@ -227,26 +287,24 @@
 		if bits.Has(i) && task < protocol.MaxTasks && !j.Done.Has(task) {
 			j.Done.Set(task)
 			j.DoneN++
+			if j.Intended[task] > 0 {
+				j.intendedOpen--
+			}
 		}
 	}
 }
 
-// StrayDone lists the records of completed tasks that a job which is over has
-// left behind, with their versions.
-func (b *Book) StrayDone() map[string]uint64 {
-	var out map[string]uint64
-	b.Jobs.All(func(_ int, j *Job) {
-		if !j.Over() {
-			return
-		}
-		for chunk, version := range j.DoneVer {
-			if out == nil {
-				out = map[string]uint64{}
-			}
-			out[DoneKey(j.ID, chunk)] = version
-		}
-	})
-	return out
+// intend counts an entry that names a task, or one less.
+func (j *Job) intend(task, by int) {
+	before := j.Intended[task]
+	if before+by <= 0 {
+		delete(j.Intended, task)
+	} else {
+		j.Intended[task] = before + by
+	}
+	if !j.Done.Has(task) && (before > 0) != (before+by > 0) {
+		j.intendedOpen += by
+	}
 }
 
 // Remove takes in that a key was removed.
@@ -256,27 +314,72 @@
 		if version > b.LeaderVer {
 			b.Leader, b.LeaderVer = LeaderRecord{}, 0
 		}
-	case strings.HasPrefix(key, preMachine):
-		if _, m := b.Machines.Find(key[len(preMachine):]); m != nil && version > m.Version {
-			m.Version, m.Phase = 0, PhaseGone
-			b.dropMachine(m)
+	case strings.HasPrefix(key, preBlock):
+		id := key[len(preBlock):]
+		if old := b.Blocks[id]; old != nil && version > old.Version {
+			b.setBlock(id, BlockRecord{}, version)
+			delete(b.Blocks, id)
 		}
 	case strings.HasPrefix(key, preIntent):
-		if _, m := b.Machines.Find(key[len(preIntent):]); m != nil && version > m.IntentVersion {
-			_ = b.setIntents(m, nil, 0) // an empty list has nothing to refuse
-			b.dropMachine(m)
+		if id, ok := splitPage(key[len(preIntent):]); ok {
+			if p := b.intents[id]; p != nil && version > p.version {
+				_ = b.setIntents(id, nil, version) // an empty page has nothing to refuse
+				delete(b.intents, id)
+			}
+		}
+	case strings.HasPrefix(key, preDone):
+		if id, ok := splitPage(key[len(preDone):]); ok {
+			if p := b.done[id]; p != nil && version > p.version {
+				_ = b.setDone(id, nil, version)
+				delete(b.done, id)
+			}
 		}
 	case strings.HasPrefix(key, preJob):
 		if _, j := b.Jobs.Find(key[len(preJob):]); j != nil && version > j.Version && j.Version != 0 {
 			j.Version = 0
 			b.DropJob(j)
 		}
-	case strings.HasPrefix(key, preDone):
-		if id, chunk, ok := splitDone(key); ok {
-			if _, j := b.Jobs.Find(id); j != nil && version > j.DoneVer[chunk] {
-				delete(j.DoneVer, chunk)
-				b.DropJob(j)
-			}
+	}
+}
+
+// IntentVersion returns the version of a page of intents, 0 if there is none.
+func (b *Book) IntentVersion(id PageID) uint64 {
+	if p := b.intents[id]; p != nil {
+		return p.version
+	}
+	return 0
+}
+
+// IntentPages calls f for every page of intents of a shard with the number of
+// its entries.
+func (b *Book) IntentPages(shard int, f func(page, entries int)) {
+	for id, p := range b.intents {
+		if id.Shard == shard {
+			f(id.Page, len(p.entries))
+		}
+	}
+}
+
+// DoneVersion returns the version of a page of completed tasks, 0 if there is
+// none.
+func (b *Book) DoneVersion(id PageID) uint64 {
+	if p := b.done[id]; p != nil {
+		return p.version
+	}
+	return 0
+}
+
+// StaleDone reports whether a page of completed tasks names jobs that are over.
+func (b *Book) StaleDone(id PageID) bool {
+	p := b.done[id]
+	return p != nil && slices.ContainsFunc(p.entries, (*Job).Over)
+}
+
+// DonePages calls f for every page of completed tasks of a shard.
+func (b *Book) DonePages(shard int, f func(page int)) {
+	for id := range b.done {
+		if id.Shard == shard {
+			f(id.Page)
 		}
 	}
 }
@@ -294,24 +397,53 @@
 	if _, m := b.Machines.Find(name); m != nil {
 		return m
 	}
-	m := &Machine{Name: name, Intents: map[TaskRef]uint64{}}
-	m.Shard = -1
+	m := &Machine{Name: name, Shard: -1, Phase: PhaseGone, Intents: map[TaskRef]Intent{}}
 	m.Index = b.Machines.Add(name, m)
 	return m
 }
 
 // dropMachine forgets a machine that no record names any more.
 func (b *Book) dropMachine(m *Machine) {
-	if m.Version == 0 && m.IntentVersion == 0 {
+	if m.Block == "" && len(m.Intents) == 0 {
 		b.Machines.Drop(m.Name)
 	}
 }
 
+// setBlock replaces a block. A machine that moves to another block is named by
+// both for a moment, in either order; the later word counts.
+func (b *Book) setBlock(id string, r BlockRecord, version uint64) {
+	old := b.Blocks[id]
+	b.Blocks[id] = &Block{r, version}
+	for i := range r.Machines {
+		e := &r.Machines[i]
+		m := b.machine(e.Name)
+		m.Block, m.Addr, m.Type, m.Zone, m.Spot, m.Shard, m.Token = id, e.Addr, r.Type, r.Zone, r.Spot, r.Shard, r.Token
+		m.Phase, m.Drain, m.AtMS, m.GoneMS = e.Phase, e.Drain, r.AtMS, e.GoneMS
+		if m.Phase == "" {
+			m.Phase = PhaseActive
+		}
+		m.TypeIdx, m.ZoneIdx = b.TypeID(r.Type), b.ZoneNames.ID(r.Zone)
+	}
+	if old == nil {
+		return
+	}
+	for i := range old.Machines {
+		name := old.Machines[i].Name
+		if slices.ContainsFunc(r.Machines, func(e BlockMachine) bool { return e.Name == name }) {
+			continue
+		}
+		if _, m := b.Machines.Find(name); m != nil && m.Block == id {
+			m.Block, m.Phase = "", PhaseGone
+			b.dropMachine(m)
+		}
+	}
+}
+
 func (b *Book) job(id string) *Job {
 	if _, j := b.Jobs.Find(id); j != nil {
 		return j
 	}
-	j := &Job{DoneVer: map[int]uint64{}, Intended: map[int]int{}, TeamIdx: -1, ZoneIdx: -1}
+	j := &Job{DonePage: map[int]int{}, Intended: map[int]int{}, TeamIdx: -1, ZoneIdx: -1, Home: -1}
 	j.ID = id
 	j.Index = b.Jobs.Add(id, j)
 	return j
@@ -329,42 +461,113 @@
 	for _, t := range r.Spec.Types {
 		j.TypeIdx = append(j.TypeIdx, b.TypeID(t))
 	}
+	j.Home = b.homeOf(j)
+	b.JobsSeen++
 }
 
-// setIntents replaces a machine's intents. An intent can outlive its job, and a
-// job of which only intents are known counts as over.
-func (b *Book) setIntents(m *Machine, tasks []IntentTask, version uint64) error {
-	next := make(map[TaskRef]uint64, len(tasks))
-	for _, t := range tasks {
-		id, task, err := protocol.SplitTask(t.Task)
-		if err != nil {
-			return err
-		}
-		next[TaskRef{b.job(id).Index, task}] = t.Attempt
+// homeOf is the home of a job. Work that ends shares one home, where machines
+// that one job leaves serve the next; services, which stay, are spread over the
+// others by their names.
+func (b *Book) homeOf(j *Job) int {
+	switch {
+	case b.Homes == 0 || j.TeamIdx < 0:
+		return -1
+	case b.Homes == 1 || !j.Standing():
+		return 0
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(j.ID)) // a hash takes everything
+	return 1 + int(h.Sum32()%uint32(b.Homes-1))
+}
+
+// Share is a home's part of a team's amount.
+func (b *Book) Share(t *Team, home int, amount float64) float64 {
+	if b.Homes <= 1 {
+		return amount
+	}
+	if home < 0 || home >= len(t.Shares) {
+		return 0
 	}
-	old := m.Intents
-	m.Intents, m.IntentVersion = next, version
-	for ref := range next {
-		if _, same := old[ref]; !same {
-			b.Jobs.Get(ref.Job).Intended[ref.Task]++
+	return amount * float64(t.Shares[home]) / 1000
+}
+
+// setIntents replaces a page of intents. What both pages name is never missing
+// in between. An intent can outlive its job, and a job of which only intents are
+// known counts as over.
+func (b *Book) setIntents(id PageID, r IntentPage, version uint64) error {
+	var next []intent
+	for name, entries := range r {
+		if !protocol.ValidJobID(name) {
+			return fmt.Errorf("intents of %q", name)
+		}
+		for _, e := range entries {
+			task, machine, try, err := splitIntent(e)
+			if err != nil {
+				return err
+			}
+			next = append(next, intent{b.machine(machine), TaskRef{b.job(name).Index, task}, try})
 		}
 	}
-	for ref := range old {
-		if _, same := next[ref]; same {
-			continue
+	for _, e := range next {
+		b.Jobs.Get(e.ref.Job).intend(e.ref.Task, 1)
+		i := e.m.Intents[e.ref]
+		if i.Try != e.try {
+			i = Intent{Try: e.try}
 		}
-		j := b.Jobs.Get(ref.Job)
-		if j.Intended[ref.Task]--; j.Intended[ref.Task] <= 0 {
-			delete(j.Intended, ref.Task)
+		i.Page = id.Page
+		i.count++
+		e.m.Intents[e.ref] = i
+	}
+	old := b.intents[id]
+	b.intents[id] = &pageOf[intent]{version, next}
+	if old == nil {
+		return nil
+	}
+	for _, e := range old.entries {
+		j := b.Jobs.Get(e.ref.Job)
+		j.intend(e.ref.Task, -1)
+		if i := e.m.Intents[e.ref]; i.Try == e.try {
+			if i.count--; i.count <= 0 {
+				delete(e.m.Intents, e.ref)
+				b.dropMachine(e.m)
+			} else {
+				e.m.Intents[e.ref] = i
+			}
 		}
 		b.DropJob(j)
 	}
 	return nil
 }
 
+// setDone replaces a page of completed tasks. Records are read in the order of
+// their keys, so a page can come before its jobs; what it says is kept for them.
+func (b *Book) setDone(id PageID, r DonePage, version uint64) error {
+	var next []*Job
+	for name, bits := range r {
+		job, chunk, ok := splitDone(name)
+		if !ok || !protocol.ValidJobID(job) {
+			return fmt.Errorf("completed tasks of %q", name)
+		}
+		j := b.job(job)
+		j.addDone(chunk, bits)
+		j.DonePage[chunk] = id.Page
+		j.Refs++
+		next = append(next, j)
+	}
+	old := b.done[id]
+	b.done[id] = &pageOf[*Job]{version, next}
+	if old != nil {
+		for _, j := range old.entries {
+			j.Refs--
+			b.DropJob(j)
+		}
+	}
+	return nil
+}
+
 // DropJob forgets a job that is over once nothing names it any more.
 func (b *Book) DropJob(j *Job) {
-	if j.Over() && len(j.Intended) == 0 && len(j.DoneVer) == 0 && j.Refs == 0 {
+	if j.Over() && len(j.Intended) == 0 && j.Refs == 0 {
 		b.Jobs.Drop(j.ID)
 	}
 }
@@ -384,11 +587,3 @@
 
 // eps absorbs rounding in sums of decimal amounts.
 const eps = 1e-6
-
-// Home returns the shard of a job's team, or -1.
-func (b *Book) Home(j *Job) int {
-	if j.TeamIdx < 0 {
-		return -1
-	}
-	return b.Homes[j.TeamIdx]
-}
--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -24,18 +24,18 @@
 			t.Fatal(err)
 		}
 	}
-	apply(DoneKey("run-1", 0), Encode([]byte(done)), 7)
-	apply(IntentKey("m-1"), Encode(IntentRecord{Tasks: []IntentTask{{"run-1/1", 5}, {"run-1/3", 4}}}), 8)
+	apply(DoneKey(PageID{}), Encode(DonePage{DoneName("run-1", 0): done}), 7)
+	apply(IntentKey(PageID{}), Encode(IntentPage{"run-1": {IntentEntry(1, "m-1", 5), IntentEntry(3, "m-1", 4)}}), 8)
 	apply(JobKey("run-1"), job("run-1", 6), 3)
 	_, j := b.Jobs.Find("run-1")
-	if j.DoneN != 2 || !j.Done.Has(3) || j.DoneVer[0] != 7 {
-		t.Errorf("completed tasks: %d, version %d", j.DoneN, j.DoneVer[0])
+	if j.DoneN != 2 || !j.Done.Has(3) {
+		t.Errorf("completed tasks: %d", j.DoneN)
 	}
 	if j.Open() != 3 { // 0 and 3 are done, 1 is intended
 		t.Errorf("%d tasks are open", j.Open())
 	}
-	if len(b.StrayDone()) != 0 {
-		t.Errorf("stray records: %v", b.StrayDone())
+	if b.StaleDone(PageID{}) {
+		t.Error("the page of completed tasks is taken for stale")
 	}
 }
 
@@ -49,8 +49,8 @@
 		version uint64
 	}{
 		{JobKey("run-1"), job("run-1", 2), 1},
-		{DoneKey("run-1", 0), Encode([]byte{1}), 2},
-		{IntentKey("m-1"), Encode(IntentRecord{Tasks: []IntentTask{{"run-1/1", 5}}}), 3},
+		{DoneKey(PageID{}), Encode(DonePage{DoneName("run-1", 0): {1}}), 2},
+		{IntentKey(PageID{}), Encode(IntentPage{"run-1": {IntentEntry(1, "m-1", 5)}}), 3},
 	} {
 		if err := b.Apply(r.key, r.value, r.version); err != nil {
 			t.Fatal(err)
@@ -59,11 +59,11 @@
 	_, j := b.Jobs.Find("run-1")
 	j.Refs++
 	b.Remove(JobKey("run-1"), 4)
-	if !j.Over() || len(b.StrayDone()) != 1 {
-		t.Fatalf("over %t, stray %v", j.Over(), b.StrayDone())
+	if !j.Over() || !b.StaleDone(PageID{}) {
+		t.Fatalf("over %t, stale %t", j.Over(), b.StaleDone(PageID{}))
 	}
-	b.Remove(DoneKey("run-1", 0), 5)
-	b.Remove(IntentKey("m-1"), 6)
+	b.Remove(DoneKey(PageID{}), 5)
+	b.Remove(IntentKey(PageID{}), 6)
 	if _, still := b.Jobs.Find("run-1"); still != j {
 		t.Fatal("forgotten while an attempt refers to it")
 	}
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -13,42 +13,56 @@
 // controller follows; a job that is over leaves it, so that what a starting
 // controller reads stays as small as the work at hand.
 const (
-	Prefix     = "r/"
-	KeyLeader  = "r/leader"
-	KeyTerm    = "r/term"
-	KeyTypes   = "r/types"
-	KeyHomes   = "r/homes"
-	KeyTarget  = "r/target"
-	preGrant   = "r/g/"
-	preMachine = "r/m/"
-	preIntent  = "r/i/"
-	preJob     = "r/j/"
-	preDone    = "r/d/"
-	preFinal   = "f/"
+	Prefix    = "r/"
+	KeyLeader = "r/leader"
+	KeyTerm   = "r/term"
+	KeyTypes  = "r/types"
+	KeyHomes  = "r/homes"
+	KeyShares = "r/shares"
+	KeyTarget = "r/target"
+	preGrant  = "r/g/"
+	preBlock  = "r/m/"
+	preIntent = "r/i/"
+	preJob    = "r/j/"
+	preDone   = "r/d/"
+	preFinal  = "f/"
 )
 
-// ChunkTasks is how many tasks one record of completed tasks covers; its value
-// stays below 1.4 KiB.
+// ChunkTasks is how many tasks one entry of completed tasks covers; it stays
+// below 1.4 KiB.
 const ChunkTasks = 8192
 
 // GrantKey is the key of a shard's grant.
 func GrantKey(shard int) string { return preGrant + strconv.Itoa(shard) }
 
-// MachineKey is the key of the leader's record of a machine.
-func MachineKey(name string) string { return preMachine + name }
+// BlockKey is the key of a block of machines.
+func BlockKey(id string) string { return preBlock + id }
 
-// IntentKey is the key of the holder's record of a machine.
-func IntentKey(name string) string { return preIntent + name }
+// PageID names a page of a shard's holder.
+type PageID struct{ Shard, Page int }
+
+func (p PageID) path() string { return strconv.Itoa(p.Shard) + "/" + strconv.Itoa(p.Page) }
+
+// IntentKey is the key of a page of intents.
+func IntentKey(p PageID) string { return preIntent + p.path() }
+
+// DoneKey is the key of a page of completed tasks.
+func DoneKey(p PageID) string { return preDone + p.path() }
 
 // JobKey is the key of an unfinished job.
 func JobKey(id string) string { return preJob + id }
 
-// DoneKey is the key of a part of a job's completed tasks.
-func DoneKey(id string, chunk int) string { return preDone + id + "/" + strconv.Itoa(chunk) }
-
 // FinalKey is the key of a job that is over.
 func FinalKey(id string) string { return preFinal + id }
 
+// splitPage takes a page's key apart.
+func splitPage(path string) (PageID, bool) {
+	shard, page, ok := strings.Cut(path, "/")
+	s, err1 := strconv.Atoi(shard)
+	p, err2 := strconv.Atoi(page)
+	return PageID{s, p}, ok && err1 == nil && err2 == nil && s >= 0 && p >= 0
+}
+
 // LeaderRecord says who leads. It is attached to the leader's lease.
 type LeaderRecord struct {
 	Node        string `json:"node"`
@@ -84,29 +98,64 @@
 	PhaseGone      = "gone"      // deleted; kept until the cloud's lists have forgotten it
 )
 
-// MachineRecord is the leader's record of a machine.
-type MachineRecord struct {
-	Addr  string `json:"addr,omitempty"`
-	Type  string `json:"type"`
-	Zone  string `json:"zone"`
-	Spot  bool   `json:"spot,omitempty"`
-	Shard int    `json:"shard"`
-	Token uint64 `json:"token"` // the holder's token is at least this
-	Phase string `json:"phase"`
-	AtMS  int64  `json:"at"` // time of day when it was rented, or its phase became gone
+// BlockRecord is the leader's record of a block: machines of one pool that were
+// rented together and belong to one shard. One value holds many machines, so
+// that a wave of rentals or returns takes few writes.
+type BlockRecord struct {
+	Type     string         `json:"type"`
+	Zone     string         `json:"zone"`
+	Spot     bool           `json:"spot,omitempty"`
+	Shard    int            `json:"shard"`
+	Token    uint64         `json:"token"` // the holder's token is at least this
+	AtMS     int64          `json:"at"`    // time of day when they were rented
+	Machines []BlockMachine `json:"m"`
 }
 
-// IntentRecord lists the tasks that may be on a machine.
-type IntentRecord struct {
-	Tasks []IntentTask `json:"tasks"`
+// BlockMachine is what differs among the machines of a block.
+type BlockMachine struct {
+	Name   string `json:"n"`
+	Addr   string `json:"a,omitempty"`
+	Phase  string `json:"p,omitempty"` // none: active
+	Drain  uint64 `json:"d,omitempty"` // stamp of the drain: the holder's word that the machine is empty names it
+	GoneMS int64  `json:"g,omitempty"` // time of day when it was deleted
 }
 
-// IntentTask is one attempt that may be on a machine.
-type IntentTask struct {
-	Task    string `json:"t"`
-	Attempt uint64 `json:"n"`
+// HomesRecord says into how many homes the work is split. It is written once.
+type HomesRecord struct {
+	Homes int `json:"homes"`
 }
 
+// SharesRecord splits each team's guarantee and limit among the homes, in
+// thousandths; a team's shares never sum above a thousand.
+type SharesRecord map[string][]int
+
+// IntentPage lists tasks that may be on machines, by job: each entry is the
+// task's number, the machine and the attempt.
+type IntentPage map[string][]string
+
+// IntentEntry encodes an entry of an IntentPage.
+func IntentEntry(task int, machine string, attempt uint64) string {
+	return strconv.Itoa(task) + " " + machine + " " + strconv.FormatUint(attempt, 36)
+}
+
+// splitIntent takes an entry of an IntentPage apart.
+func splitIntent(entry string) (task int, machine string, attempt uint64, err error) {
+	num, rest, ok1 := strings.Cut(entry, " ")
+	machine, try, ok2 := strings.Cut(rest, " ")
+	task, err1 := strconv.Atoi(num)
+	attempt, err2 := strconv.ParseUint(try, 36, 64)
+	if !ok1 || !ok2 || err1 != nil || err2 != nil || task < 0 || task >= protocol.MaxTasks {
+		return 0, "", 0, fmt.Errorf("intent %q", entry)
+	}
+	return task, machine, attempt, nil
+}
+
+// DonePage holds completed tasks of a home's jobs: bitmaps by DoneName.
+type DonePage map[string][]byte
+
+// DoneName names a chunk of a job's tasks in a DonePage.
+func DoneName(id string, chunk int) string { return id + "/" + strconv.Itoa(chunk) }
+
 // JobRecord is an accepted job that is not over.
 type JobRecord struct {
 	Spec protocol.Spec `json:"spec"`
@@ -129,9 +178,9 @@
 	return data
 }
 
-// splitDone takes the key of a record of completed tasks apart.
-func splitDone(key string) (id string, chunk int, ok bool) {
-	id, num, ok := strings.Cut(strings.TrimPrefix(key, preDone), "/")
+// splitDone takes a name in a DonePage apart.
+func splitDone(name string) (id string, chunk int, ok bool) {
+	id, num, ok := strings.Cut(name, "/")
 	chunk, err := strconv.Atoi(num)
 	return id, chunk, ok && err == nil && chunk >= 0 && chunk <= protocol.MaxTasks/ChunkTasks
 }
--- a/internal/bookkeeping/table.go
+++ b/internal/bookkeeping/table.go
@@ -33,6 +33,9 @@
 	return -1
 }
 
+// Len returns how many names there are.
+func (n *Names) Len() int { return len(n.names) }
+
 // Name returns the name with an index.
 func (n *Names) Name(id int) string {
 	if id < 0 || id >= len(n.names) {
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -23,7 +23,7 @@
 	CallsPerTurn int     // cloud calls a cycle at most
 	BootPatience float64 // multiples of a type's boot time after which a boot counts as failed
 	BlockLeaseS  float64 // a holder's lease on its machines; 0: derived from the workers' lease
-	HomeTeams    int     // teams that share one home controller
+	Homes        int     // shards among which the work is split; 0: derived from the number of controllers
 	SilentS      float64 // silence after which a machine is given up while it is listed as running; 0: derived
 }
 
@@ -31,7 +31,7 @@
 func DefaultOptions() Options {
 	return Options{
 		CycleS: 1, RentWindowS: 1, GiveWindowS: 25, GiveBelow: 0.3,
-		FleetMin: 0, FleetMax: 500, CallsPerTurn: 2, BootPatience: 2.5, ServiceSpare: 4, RentPatience: 2, HomeTeams: 8,
+		FleetMin: 0, FleetMax: 10000, CallsPerTurn: 2, BootPatience: 2.5, ServiceSpare: 4, RentPatience: 2,
 	}
 }
 
@@ -56,7 +56,7 @@
 		{"rent_patience", 0, 20, false, func(o *Options, v float64) { o.RentPatience = v }},
 		{"service_spare", 0, 1000, true, func(o *Options, v float64) { o.ServiceSpare = int(v) }},
 		{"block_lease_s", 0, 600, false, func(o *Options, v float64) { o.BlockLeaseS = v }},
-		{"home_teams", 1, 10000, true, func(o *Options, v float64) { o.HomeTeams = int(v) }},
+		{"homes", 0, 1000, true, func(o *Options, v float64) { o.Homes = int(v) }},
 		{"silent_s", 0, 3600, false, func(o *Options, v float64) { o.SilentS = v }},
 	}
 }
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -24,6 +24,8 @@
 	grantAt  []time.Duration
 	homing   bool
 	homeAt   time.Duration
+	sharing  bool
+	shareAt  time.Duration
 	fleet    *fleet
 }
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"rockrun/internal/bookkeeping"
@@ -27,16 +28,25 @@
 
 	listing bool
 	listAt  time.Duration
+	failed  map[string]bool   // machines that the last list calls failed
+	addrs   map[string]string // addresses that the records don't have yet
+	old     map[string]bool   // machines that are gone and that no list can name any more
 
 	asks      []*ask
 	asked     int
 	refusedAt map[pool]refusal
 
-	wanted  map[string]bookkeeping.MachineRecord // rented or found, record to be written
-	writing map[string]bool                      // by machine, or by key of another record
-	waitTo  map[string]uint64                    // revision that must be in the book before the next write
+	strays  map[string]stray    // machines found, not in a block yet
+	fresh   []*newBlock         // blocks whose record is to be made
+	coming  map[string]bool     // machines of those
+	writing map[string]bool     // blocks
+	waitTo  map[string]uint64   // revision that must be in the book before a block's next write
+	changes map[string][]change // by block, worked out anew every tick
+	left    []demand            // what the last cycle found no room for
+	claims  map[string]int      // machines that drain for the work of another home
 
 	deleting bool
+	deleted  map[string]bool // by the cloud, not yet in the records
 	deleteAt time.Duration
 
 	cycleAt      time.Duration
@@ -64,11 +74,38 @@
 	pause time.Duration
 }
 
+// stray is a machine that was found and not asked for.
+type stray struct {
+	addr, typ, zone string
+	spot            bool
+	atMS            int64
+}
+
+// newBlock is a block that is not in the book yet. It keeps its name until it
+// is, so that a write without an answer can't put a machine into two blocks.
+type newBlock struct {
+	id      string
+	rec     bookkeeping.BlockRecord
+	writing bool
+	at      time.Duration
+}
+
+// change is what a machine's entry is to become.
+type change struct {
+	m      *bookkeeping.Machine
+	phase  string
+	why    string
+	stamp  uint64 // of a drain that begins
+	addr   string
+	forget bool // the entry goes
+	empty  bool // rests on the holder's word that nothing is on the machine
+}
+
 func newFleet(l *leadership) *fleet {
 	return &fleet{
 		l: l, bounds: boundsOf(l.n.Options), refusedAt: map[pool]refusal{},
 		idleSince: windows{}, movableSince: windows{}, drainSince: windows{},
-		wanted: map[string]bookkeeping.MachineRecord{}, writing: map[string]bool{}, waitTo: map[string]uint64{},
+		claims: map[string]int{}, deleted: map[string]bool{}, addrs: map[string]string{}, old: map[string]bool{}, strays: map[string]stray{}, coming: map[string]bool{}, writing: map[string]bool{}, waitTo: map[string]uint64{}, changes: map[string][]change{},
 	}
 }
 
@@ -81,6 +118,7 @@
 	if !f.gotTypes || f.l.n.book.TypesVer == 0 {
 		return
 	}
+	clear(f.changes)
 	f.list(now)
 	f.records()
 	f.tidy(now)
@@ -90,6 +128,7 @@
 		f.cycleAt = now + f.cycle
 		f.size(now)
 	}
+	f.flush(now)
 }
 
 // types reads what the cloud rents, and keeps it for the other controllers.
@@ -165,28 +204,29 @@
 			return
 		}
 		listed := make(map[string]bool, len(list))
+		failed := map[string]bool{}
 		for i := range list {
 			c := &list[i]
 			listed[c.Name] = true
 			_, m := n.book.Machines.Find(c.Name)
-			if m == nil || m.Version == 0 {
+			if m == nil || m.Block == "" {
 				at := n.Clock.Wall().UnixMilli() - int64(c.AgeS*1000)
-				f.found(c.Name, c.Address, c.Type, c.Zone, c.Spot, at)
+				f.found(c.Name, stray{c.Address, c.Type, c.Zone, c.Spot, at})
 				continue
 			}
-			if c.Stage == protocol.MachineFailed && (m.Phase == bookkeeping.PhaseActive || m.Phase == bookkeeping.PhaseDrain) {
-				f.phase(m, bookkeeping.PhaseReturning, "failed")
-			} else if m.Addr == "" && c.Address != "" {
-				rec := m.MachineRecord
-				rec.Addr = c.Address
-				f.write(m, rec, false)
+			if c.Stage == protocol.MachineFailed {
+				failed[c.Name] = true
+			}
+			if m.Addr == "" && c.Address != "" {
+				f.addrs[c.Name] = c.Address
 			}
 		}
+		f.failed = failed
 		// A record of a machine that is gone is kept until no list can name it.
 		keep := max(10*time.Minute, seconds(20*n.Settings.Cluster.Cloud.ListLagS))
 		n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
-			if m.Phase == bookkeeping.PhaseGone && m.Version != 0 && m.IntentVersion == 0 && !listed[m.Name] && f.l.age(m) > keep {
-				f.forget(m)
+			if m.Block != "" && m.Phase == bookkeeping.PhaseGone && !listed[m.Name] && time.Duration(n.Clock.Wall().UnixMilli()-m.GoneMS)*time.Millisecond > keep {
+				f.old[m.Name] = true
 			}
 		})
 	})
@@ -194,144 +234,263 @@
 
 // stranger takes up a machine that reported and that no record names.
 func (f *fleet) stranger(r *protocol.Report) {
-	if _, m := f.l.n.book.Machines.Find(r.Machine); m == nil || m.Version == 0 {
-		f.found(r.Machine, r.Address, r.Type, r.Zone, r.Spot, f.l.n.Clock.Wall().UnixMilli())
+	if _, m := f.l.n.book.Machines.Find(r.Machine); m == nil || m.Block == "" {
+		f.found(r.Machine, stray{r.Address, r.Type, r.Zone, r.Spot, f.l.n.Clock.Wall().UnixMilli()})
 	}
 }
 
-func (f *fleet) found(name, addr, typ, zone string, spot bool, at int64) {
-	if w, ok := f.wanted[name]; ok {
-		if w.Addr == "" {
-			w.Addr = addr
-			f.wanted[name] = w
-		}
-		return
-	}
-	f.wanted[name] = bookkeeping.MachineRecord{
-		Addr: addr, Type: typ, Zone: zone, Spot: spot, Shard: f.needy(), Phase: bookkeeping.PhaseActive, AtMS: at,
+func (f *fleet) found(name string, s stray) {
+	if !f.coming[name] {
+		f.strays[name] = s
 	}
 }
 
-// needy is the shard that gets machines nobody asked for: the home of most.
-func (f *fleet) needy() int {
-	count := make([]int, f.l.n.shards)
-	for _, s := range f.l.n.book.Homes {
-		if s >= 0 {
-			count[s]++
-		}
+// blockSize is how many machines a block holds, so that its value stays within
+// bounds with every field of every entry set.
+func (f *fleet) blockSize() int {
+	return max(1, int(f.l.n.Settings.Cluster.State.ValueKB*1024-300)/130)
+}
+
+// block makes a block of machines to be recorded.
+func (f *fleet) block(rec bookkeeping.BlockRecord) {
+	rec.Token = f.l.token()
+	f.fresh = append(f.fresh, &newBlock{id: strconv.FormatUint(rec.Token>>24, 36), rec: rec})
+	for _, e := range rec.Machines {
+		f.coming[e.Name] = true
 	}
-	return slices.Index(count, slices.Max(count))
 }
 
-// records writes the records of machines that were rented or found.
+// records writes the blocks of machines that were rented or found.
 func (f *fleet) records() {
 	n := f.l.n
-	var names []string
-	for name := range f.wanted {
-		if _, m := n.book.Machines.Find(name); m != nil && m.Version != 0 {
-			delete(f.wanted, name)
-		} else if !f.writing[name] && n.revision >= f.waitTo[name] {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	for len(names) > 0 {
-		batch := names[:min(len(names), n.Settings.Cluster.State.TxnOps, 8)]
-		if !n.budget.take(n.now(), len(batch)) {
-			return
+	now := n.now()
+	// Machines that nobody asked for go to the home of the work that ends.
+	var last stray
+	rec := bookkeeping.BlockRecord{}
+	for _, name := range slices.Sorted(maps.Keys(f.strays)) {
+		s := f.strays[name]
+		if _, m := n.book.Machines.Find(name); m != nil && m.Block != "" || f.coming[name] {
+			continue
 		}
-		names = names[len(batch):]
-		t := protocol.Txn{If: []protocol.Cond{f.l.cond()}}
-		for _, name := range batch {
-			rec := f.wanted[name]
-			rec.Token = f.l.token()
-			t.If = append(t.If, protocol.Cond{Key: bookkeeping.MachineKey(name)})
-			t.Then = append(t.Then, protocol.Op{Put: bookkeeping.MachineKey(name), Value: bookkeeping.Encode(rec)})
-			f.writing[name] = true
-		}
-		n.State.Txn(t, func(revision uint64, err error) {
-			for _, name := range batch {
-				delete(f.writing, name)
-				if err == nil {
-					f.waitTo[name] = revision
-				}
+		if len(rec.Machines) > 0 && (s.typ != last.typ || s.zone != last.zone || s.spot != last.spot || len(rec.Machines) >= f.blockSize()) {
+			f.block(rec)
+			rec.Machines = nil
+		}
+		rec.Type, rec.Zone, rec.Spot, rec.AtMS = s.typ, s.zone, s.spot, s.atMS
+		rec.Machines = append(rec.Machines, bookkeeping.BlockMachine{Name: name, Addr: s.addr})
+		last = s
+	}
+	if len(rec.Machines) > 0 {
+		f.block(rec)
+	}
+	clear(f.strays)
+	f.fresh = slices.DeleteFunc(f.fresh, func(b *newBlock) bool {
+		if n.book.Blocks[b.id] == nil {
+			return false
+		}
+		for _, e := range b.rec.Machines {
+			delete(f.coming, e.Name)
+		}
+		return true
+	})
+	for _, b := range f.fresh {
+		if b.writing || now < b.at || !n.budget.take(now, 1) {
+			continue
+		}
+		b.writing = true
+		key := bookkeeping.BlockKey(b.id)
+		n.State.Txn(protocol.Txn{
+			If:   []protocol.Cond{f.l.cond(), {Key: key}},
+			Then: []protocol.Op{{Put: key, Value: bookkeeping.Encode(b.rec)}},
+		}, func(_ uint64, err error) {
+			b.writing = false
+			b.at = n.now() + retryPause
+			if err == nil {
+				b.at = n.now() + time.Second // it comes with the changes
 			}
 		})
 	}
 }
 
-// write changes the leader's record of a machine. With empty demanded, it also
-// depends on the holder's record naming no task: the two together make sure
-// that a machine which goes back, or to another holder, runs nothing.
-func (f *fleet) write(m *bookkeeping.Machine, rec bookkeeping.MachineRecord, empty bool) {
+// phase moves a machine on. A return is recorded first and never undone.
+func (f *fleet) phase(m *bookkeeping.Machine, phase, why string) {
+	c := change{m: m, phase: phase, why: why}
+	if phase == bookkeeping.PhaseDrain {
+		c.stamp = f.l.token()
+	}
+	f.change(c)
+}
+
+func (f *fleet) change(c change) {
+	if c.m.Block != "" && !slices.ContainsFunc(f.changes[c.m.Block], func(o change) bool { return o.m == c.m }) {
+		f.changes[c.m.Block] = append(f.changes[c.m.Block], c)
+	}
+}
+
+// pending reports whether a machine's entry is being changed already.
+func (f *fleet) pending(m *bookkeeping.Machine) bool {
+	return f.writing[m.Block] || f.l.n.revision < f.waitTo[m.Block] ||
+		slices.ContainsFunc(f.changes[m.Block], func(o change) bool { return o.m == m })
+}
+
+// flush writes the changes worked out in this tick, several blocks to a
+// transaction. What can't be written now is worked out again in the next tick.
+func (f *fleet) flush(now time.Duration) {
 	n := f.l.n
-	if f.writing[m.Name] || n.revision < f.waitTo[m.Name] || !n.budget.take(n.now(), 1) {
-		return
+	most := min(n.Settings.Cluster.State.TxnOps, 8)
+	var ids []string
+	for _, id := range slices.Sorted(maps.Keys(f.changes)) {
+		if !f.writing[id] && n.revision >= f.waitTo[id] && n.book.Blocks[id] != nil {
+			ids = append(ids, id)
+		}
 	}
-	f.writing[m.Name] = true
-	t := protocol.Txn{
-		If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.MachineKey(m.Name), Version: m.Version}},
-		Then: []protocol.Op{{Put: bookkeeping.MachineKey(m.Name), Value: bookkeeping.Encode(rec)}},
+	for len(ids) > 0 {
+		batch := ids[:min(most, len(ids))]
+		ids = ids[len(batch):]
+		for len(batch) > 0 && !n.budget.take(now, len(batch)) {
+			batch = batch[:len(batch)/2]
+		}
+		if len(batch) == 0 {
+			return
+		}
+		t := protocol.Txn{If: []protocol.Cond{f.l.cond()}}
+		grants := map[int]bool{}
+		for _, id := range batch {
+			b := n.book.Blocks[id]
+			rec := f.changed(b, f.changes[id])
+			t.If = append(t.If, protocol.Cond{Key: bookkeeping.BlockKey(id), Version: b.Version})
+			if len(rec.Machines) == 0 {
+				t.Then = append(t.Then, protocol.Op{Delete: bookkeeping.BlockKey(id)})
+			} else {
+				t.Then = append(t.Then, protocol.Op{Put: bookkeeping.BlockKey(id), Value: bookkeeping.Encode(rec)})
+			}
+			if slices.ContainsFunc(f.changes[id], func(c change) bool { return c.empty }) && !grants[b.Shard] {
+				grants[b.Shard] = true
+				t.If = append(t.If, f.grantCond(b.Shard))
+			}
+		}
+		f.txn(batch, t)
 	}
-	if empty {
-		t.If = append(t.If, protocol.Cond{Key: bookkeeping.IntentKey(m.Name), Version: m.IntentVersion})
+}
+
+func (f *fleet) grantCond(shard int) protocol.Cond {
+	return protocol.Cond{Key: bookkeeping.GrantKey(shard), Version: f.l.n.book.Grants[shard].Version}
+}
+
+// txn carries out a transaction that writes blocks.
+func (f *fleet) txn(blocks []string, t protocol.Txn) {
+	n := f.l.n
+	for _, id := range blocks {
+		f.writing[id] = true
 	}
 	n.State.Txn(t, func(revision uint64, err error) {
-		delete(f.writing, m.Name)
-		if err == nil {
-			f.waitTo[m.Name] = revision
+		for _, id := range blocks {
+			delete(f.writing, id)
+			if err == nil {
+				f.waitTo[id] = revision
+			}
+		}
+		if err != nil {
+			n.Log.Debug("blocks not written", "err", err)
 		}
 	})
 }
 
-// phase moves a machine on. A return is recorded first and never undone.
-func (f *fleet) phase(m *bookkeeping.Machine, phase, why string) {
+// changed is a block with changes carried out.
+func (f *fleet) changed(b *bookkeeping.Block, changes []change) bookkeeping.BlockRecord {
 	n := f.l.n
-	if f.writing[m.Name] || n.revision < f.waitTo[m.Name] {
-		return
-	}
-	rec := m.MachineRecord
-	rec.Phase = phase
-	if phase == bookkeeping.PhaseGone {
-		rec.AtMS = n.Clock.Wall().UnixMilli()
+	rec := b.BlockRecord
+	rec.Machines = nil
+	for _, e := range b.Machines {
+		i := slices.IndexFunc(changes, func(c change) bool { return c.m.Name == e.Name })
+		if i < 0 {
+			rec.Machines = append(rec.Machines, e)
+			continue
+		}
+		c := &changes[i]
+		if c.forget {
+			continue
+		}
+		if c.addr != "" {
+			e.Addr = c.addr
+		}
+		if c.phase != "" {
+			n.Log.Info("machine", "name", e.Name, "type", b.Type, "zone", b.Zone, "spot", b.Spot, "phase", c.phase, "why", c.why, "term", f.l.term)
+			e.Phase, e.Drain = c.phase, c.stamp
+			if c.phase == bookkeeping.PhaseActive {
+				e.Phase = ""
+			}
+			if c.phase == bookkeeping.PhaseGone {
+				e.GoneMS = n.Clock.Wall().UnixMilli()
+				e.Addr = ""
+			}
+		}
+		rec.Machines = append(rec.Machines, e)
 	}
-	n.Log.Info("machine", "name", m.Name, "type", m.Type, "zone", m.Zone, "spot", m.Spot, "phase", phase, "why", why, "term", f.l.term)
-	f.write(m, rec, false)
+	return rec
 }
 
-func (f *fleet) forget(m *bookkeeping.Machine) {
+// handOver gives an empty drained machine to another home: it leaves its block
+// for a new one under a token above any that it has seen.
+func (f *fleet) handOver(m *bookkeeping.Machine, shard int) {
 	n := f.l.n
-	if f.writing[m.Name] || !n.budget.take(n.now(), 1) {
+	b := n.book.Blocks[m.Block]
+	if b == nil || f.pending(m) || len(f.changes[m.Block]) > 0 || !n.budget.take(n.now(), 2) {
 		return
 	}
-	f.writing[m.Name] = true
-	n.State.Txn(protocol.Txn{
-		If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.MachineKey(m.Name), Version: m.Version}},
-		Then: []protocol.Op{{Delete: bookkeeping.MachineKey(m.Name)}},
-	}, func(uint64, error) {
-		delete(f.writing, m.Name)
-		delete(f.waitTo, m.Name)
-	})
+	from := f.changed(b, []change{{m: m, forget: true}})
+	to := bookkeeping.BlockRecord{Type: b.Type, Zone: b.Zone, Spot: b.Spot, Shard: shard, Token: f.l.token(), AtMS: b.AtMS,
+		Machines: []bookkeeping.BlockMachine{{Name: m.Name, Addr: m.Addr}}}
+	key := bookkeeping.BlockKey(strconv.FormatUint(to.Token>>24, 36))
+	t := protocol.Txn{
+		If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.BlockKey(m.Block), Version: b.Version}, {Key: key}, f.grantCond(b.Shard)},
+		Then: []protocol.Op{{Put: key, Value: bookkeeping.Encode(to)}},
+	}
+	if len(from.Machines) == 0 {
+		t.Then = append(t.Then, protocol.Op{Delete: bookkeeping.BlockKey(m.Block)})
+	} else {
+		t.Then = append(t.Then, protocol.Op{Put: bookkeeping.BlockKey(m.Block), Value: bookkeeping.Encode(from)})
+	}
+	n.Log.Info("machine moves", "name", m.Name, "from", m.Shard, "to", shard, "term", f.l.term)
+	f.txn([]string{m.Block}, t)
 }
 
-// tidy moves machines along: drained ones that are empty go back, silent,
-// faulty and overdue ones are given up, leftovers of finished jobs are removed.
+// tidy moves machines along: drained ones that are empty go back or to a home
+// that waits, silent, deaf, faulty and overdue ones are given up.
 func (f *fleet) tidy(now time.Duration) {
 	n := f.l.n
 	waits := f.blockedSince != 0
 	silence := n.Options.Silence(n.Settings.Cluster.Workers)
 	report := n.Settings.Cluster.Workers.Report()
+	deaf, held := map[int]int{}, map[int]int{}
 	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
-		if m.Version == 0 || m.Phase == bookkeeping.PhaseGone || m.Phase == bookkeeping.PhaseReturning {
+		if m.There() {
+			note, known := f.l.note(m)
+			held[m.Shard]++
+			if known && note.Deaf {
+				deaf[m.Shard]++
+			}
+		}
+	})
+	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
+		if m.Block != "" && m.Phase == bookkeeping.PhaseGone && f.old[m.Name] {
+			f.change(change{m: m, forget: true})
+			return
+		}
+		if !m.There() || m.Phase == bookkeeping.PhaseReturning {
 			return
 		}
 		note, known := f.l.note(m)
 		empty := len(m.Intents) == 0
 		switch {
-		case m.Phase == bookkeeping.PhaseDrain && empty:
-			rec := m.MachineRecord
-			rec.Phase = bookkeeping.PhaseReturning
-			f.write(m, rec, true)
+		case m.Phase == bookkeeping.PhaseDrain && known && note.Empty != 0 && note.Empty == m.Drain:
+			if to := f.wantedBy(m); to >= 0 && !note.Faulty && !note.Leaves {
+				f.handOver(m, to)
+				return
+			}
+			f.change(change{m: m, phase: bookkeeping.PhaseReturning, why: "empty", empty: true})
+		case f.failed[m.Name]:
+			f.phase(m, bookkeeping.PhaseReturning, "failed")
 		case known && note.Seen && note.Silent > silence:
 			// Lost or hanging: the deletion's answer settles its tasks.
 			f.phase(m, bookkeeping.PhaseReturning, "silent")
@@ -340,6 +499,9 @@
 			// note itself must say that it has tasks: the records are newer, and a
 			// machine that has just come up and got its first is not silent.
 			f.phase(m, bookkeeping.PhaseReturning, "silent since its holder changed")
+		case known && note.Deaf && deaf[m.Shard] <= max(2, held[m.Shard]/2):
+			// Were most of them deaf, it would be their holder that is mute.
+			f.phase(m, bookkeeping.PhaseReturning, "hears nothing")
 		case known && !note.Seen && empty && note.Tasks == 0 && waits && f.l.overdue(m) && note.Silent > 3*report:
 			// A holder that has just been granted the machine has not seen it
 			// yet either, so its own silence counts, not only the age.
@@ -348,25 +510,28 @@
 			f.phase(m, bookkeeping.PhaseReturning, "never came up")
 		case known && note.Faulty && m.Phase == bookkeeping.PhaseActive:
 			f.phase(m, bookkeeping.PhaseDrain, "faulty")
+		case m.Addr == "" && n.budget.level > n.budget.rate/2:
+			// For whoever holds it next; nothing waits for it.
+			if addr := cmp.Or(note.Addr, f.addrs[m.Name]); addr != "" {
+				f.change(change{m: m, addr: addr})
+			}
 		}
 	})
-	stray := n.book.StrayDone()
-	for _, key := range slices.Sorted(maps.Keys(stray)) {
-		version := stray[key]
-		if f.writing[key] || n.revision < f.waitTo[key] || !n.budget.take(now, 1) {
-			continue
+}
+
+// wantedBy is the home whose waiting work a machine of another suits, or -1.
+func (f *fleet) wantedBy(m *bookkeeping.Machine) int {
+	if to, claimed := f.claims[m.Name]; claimed {
+		return to
+	}
+	for i := range f.left {
+		d := &f.left[i]
+		if d.shard != m.Shard && d.count > 0 && !d.job.Over() && f.l.n.book.Suits(d.job, m) {
+			d.count -= holds(&f.l.n.book.Types[m.TypeIdx], d.job)
+			return d.shard
 		}
-		f.writing[key] = true
-		n.State.Txn(protocol.Txn{
-			If:   []protocol.Cond{f.l.cond(), {Key: key, Version: version}},
-			Then: []protocol.Op{{Delete: key}},
-		}, func(revision uint64, err error) {
-			delete(f.writing, key)
-			if err == nil {
-				f.waitTo[key] = revision
-			}
-		})
 	}
+	return -1
 }
 
 // send sends rental requests and repeats those that had no answer.
@@ -382,12 +547,14 @@
 			p := pool{n.book.TypeNames.Lookup(a.Type), n.book.ZoneNames.Lookup(a.Zone), a.Spot}
 			switch {
 			case err == nil:
-				n.Log.Info("rented", "machines", names, "type", a.Type, "zone", a.Zone, "spot", a.Spot, "term", f.l.term)
-				at := n.Clock.Wall().UnixMilli()
-				for _, name := range names {
-					f.wanted[name] = bookkeeping.MachineRecord{
-						Type: a.Type, Zone: a.Zone, Spot: a.Spot, Shard: a.shard, Phase: bookkeeping.PhaseActive, AtMS: at,
+				n.Log.Info("rented", "machines", len(names), "type", a.Type, "zone", a.Zone, "spot", a.Spot, "term", f.l.term)
+				rec := bookkeeping.BlockRecord{Type: a.Type, Zone: a.Zone, Spot: a.Spot, Shard: a.shard, AtMS: n.Clock.Wall().UnixMilli()}
+				for part := range slices.Chunk(names, f.blockSize()) {
+					rec.Machines = nil
+					for _, name := range part {
+						rec.Machines = append(rec.Machines, bookkeeping.BlockMachine{Name: name})
 					}
+					f.block(rec)
 				}
 				if len(names) < a.Count {
 					f.refuse(p)
@@ -427,16 +594,21 @@
 // delete gives machines back whose return is recorded.
 func (f *fleet) delete(now time.Duration) {
 	n := f.l.n
-	if f.deleting || now < f.deleteAt {
-		return
+	// What the cloud has deleted is recorded as gone, however often that takes.
+	for name := range f.deleted {
+		if _, m := n.book.Machines.Find(name); m == nil || m.Phase != bookkeeping.PhaseReturning {
+			delete(f.deleted, name)
+		} else {
+			f.phase(m, bookkeeping.PhaseGone, "deleted")
+		}
 	}
 	var list []*bookkeeping.Machine
 	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
-		if m.Version != 0 && m.Phase == bookkeeping.PhaseReturning && !f.writing[m.Name] && n.revision >= f.waitTo[m.Name] && len(list) < 100 {
+		if m.Block != "" && m.Phase == bookkeeping.PhaseReturning && !f.deleted[m.Name] && len(list) < 100 {
 			list = append(list, m)
 		}
 	})
-	if len(list) == 0 {
+	if len(list) == 0 || f.deleting || now < f.deleteAt {
 		return
 	}
 	names := make([]string, len(list))
@@ -456,7 +628,7 @@
 			return
 		}
 		for _, m := range list {
-			f.phase(m, bookkeeping.PhaseGone, "deleted")
+			f.deleted[m.Name] = true
 		}
 	})
 }
@@ -482,19 +654,23 @@
 			list = append(list, f.promised(a.Type, a.Zone, a.Spot, a.shard))
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(f.wanted)) {
-		rec := f.wanted[name]
-		if _, m := n.book.Machines.Find(name); m == nil || m.Version == 0 {
-			list = append(list, f.promised(rec.Type, rec.Zone, rec.Spot, rec.Shard))
+	for _, b := range f.fresh {
+		for range b.rec.Machines {
+			list = append(list, f.promised(b.rec.Type, b.rec.Zone, b.rec.Spot, b.rec.Shard))
 		}
 	}
 	s.supply = list
+	s.sole = l.sole()
+	s.count = map[pool]int{}
+	for _, x := range list {
+		s.count[pool{x.typ, x.zone, x.spot}]++
+	}
 	s.max = n.Options.FleetMax - len(list)
 	s.calls = max(0, n.Options.CallsPerTurn-len(f.asks))
 	left := s.unmet()
 	spares := l.spares(list)
 	for _, d := range spares {
-		if d.count -= s.spareFor(d, nil); d.count > 0 {
+		if d = s.lacking(d); d.count > 0 {
 			left = append(left, d)
 		}
 	}
@@ -511,8 +687,8 @@
 		}
 		f.send(now)
 	}
-	f.drain(now, s, spares, len(left) > 0, share)
-	f.move(left)
+	f.left = left
+	f.drain(now, s, spares, share)
 	f.target(now, list)
 }
 
@@ -524,7 +700,9 @@
 	for _, x := range list {
 		switch {
 		case x.m != nil && x.m.Phase == bookkeeping.PhaseDrain:
-			rec.Drain = append(rec.Drain, x.m.Name)
+			if len(rec.Drain) < 50 { // a page of them is enough for whoever reads it
+				rec.Drain = append(rec.Drain, x.m.Name)
+			}
 		default:
 			rec.Target++
 		}
@@ -551,11 +729,18 @@
 	return newSupply(&n.book.Types[i], pool{i, n.book.ZoneNames.ID(zone), spot}, shard)
 }
 
-// drain gives back slowly: one machine at a time, after the fleet has been idle
-// enough for the whole window, and any blocked work ends it.
-func (f *fleet) drain(now time.Duration, s *sizing, spares []demand, blocked bool, share float64) {
+// drain gives back slowly: after the fleet has been idle enough for the whole
+// window, one machine at a time for every thirty-two of the fleet, and work that
+// is blocked in a home ends its drains. Idle machines of one home drain at once
+// when another waits for their like; they go there once empty.
+func (f *fleet) drain(now time.Duration, s *sizing, spares []demand, share float64) {
 	n := f.l.n
 	list := f.l.supplies()
+	blocked := map[int]bool{}
+	for _, d := range f.left {
+		blocked[d.shard] = true
+	}
+	f.claim(list)
 	draining := 0
 	for _, x := range list {
 		if x.m.Phase != bookkeeping.PhaseDrain {
@@ -563,11 +748,12 @@
 		}
 		note, known := f.l.note(x.m)
 		stuck := f.drainSince.held(x.m.Name, x.service, now, 30*time.Second) // its replicas find no place after all
-		if (blocked || stuck) && !(known && (note.Faulty || note.Leaves)) {
+		if _, claimed := f.claims[x.m.Name]; claimed {
+			continue
+		}
+		if (blocked[x.shard] || stuck) && !(known && (note.Faulty || note.Leaves)) && !f.pending(x.m) {
 			delete(f.drainSince, x.m.Name)
-			rec := x.m.MachineRecord
-			rec.Phase = bookkeeping.PhaseActive
-			f.write(x.m, rec, false)
+			f.phase(x.m, bookkeeping.PhaseActive, "needed after all")
 			continue
 		}
 		draining++
@@ -576,32 +762,56 @@
 	// fleet's share up while whole machines beside them stand empty.
 	var idle []*supply
 	for _, x := range list {
-		low := !blocked && x.ready && x.taking && !x.service && x.booked(n.book.Types) < n.Options.GiveBelow
-		if f.idleSince.held(x.m.Name, low, now, f.window(x)) &&
-			!slices.ContainsFunc(spares, func(d demand) bool { return s.suits(x, d.job) && s.spareFor(d, x.m) < d.count }) {
+		low := !blocked[x.shard] && x.ready && x.taking && !x.service && x.booked(n.book.Types) < n.Options.GiveBelow
+		if f.idleSince.held(x.m.Name, low, now, f.window(x)) || low && len(x.m.Intents) == 0 && f.wantedBy(x.m) >= 0 {
 			idle = append(idle, x)
 		}
 	}
-	if draining > 0 || len(list) <= n.Options.FleetMin {
-		return
-	}
-	if x := giveBack(idle, n.book.Types); x != nil {
+	most := 1 + len(list)/32
+	rest := newSpareRoom(s, spares)
+	fleet := len(list)
+	giveBack(idle, n.book.Types)
+	for _, x := range idle {
+		if draining >= most || fleet <= n.Options.FleetMin {
+			return
+		}
+		if f.pending(x.m) || !rest.take(x) {
+			continue
+		}
+		draining++
+		fleet--
 		f.phase(x.m, bookkeeping.PhaseDrain, "idle")
 		f.note(Decision{Action: "drain", Reason: "booked share is low", Booked: share, Fleet: len(list), Count: 1})
+	}
+	if draining > 0 || fleet <= n.Options.FleetMin {
 		return
 	}
 	// Then machines whose services fit beside others: the one that saves most
-	// for each replica that has to move.
+	// for each replica that has to move. Looking at one costs a look at all, so
+	// only the few with the fewest replicas are looked at.
+	var few []*supply
+	for _, x := range list {
+		if !blocked[x.shard] && x.ready && x.taking && x.service && f.l.mayMove(x.m) {
+			few = append(few, x)
+		}
+	}
+	slices.SortStableFunc(few, func(a, b *supply) int { return cmp.Compare(len(a.m.Intents), len(b.m.Intents)) })
+	few = few[:min(len(few), maxMovable)]
 	var best *supply
 	save := 0.0
-	for _, x := range list {
-		ok := !blocked && x.ready && x.taking && x.service && s.movable(x.m, func(r bookkeeping.TaskRef) *bookkeeping.Job { return n.book.Jobs.Get(r.Job) }, spares)
+	for _, x := range few {
+		ok := s.movable(x.m, func(r bookkeeping.TaskRef) *bookkeeping.Job { return n.book.Jobs.Get(r.Job) }, spares)
 		if f.movableSince.held(x.m.Name, ok, now, f.give) {
 			if v := n.book.Types[x.typ].Price / float64(len(x.m.Intents)); best == nil || v > save {
 				best, save = x, v
 			}
 		}
 	}
+	for name := range f.movableSince {
+		if !slices.ContainsFunc(few, func(x *supply) bool { return x.m.Name == name }) {
+			delete(f.movableSince, name)
+		}
+	}
 	if best != nil {
 		clear(f.movableSince)
 		f.phase(best.m, bookkeeping.PhaseDrain, "services fit elsewhere")
@@ -609,6 +819,75 @@
 	}
 }
 
+// maxMovable bounds how many machines are examined in a cycle.
+const maxMovable = 32
+
+// claim drains machines of one home for work of a higher rank that waits in
+// another and for which no machine is to be had: those it suits, without
+// services, the least booked first. Within a home such work stops other work;
+// among homes the other work is let end, and nothing new begins there.
+func (f *fleet) claim(list []*supply) {
+	n := f.l.n
+	for name := range f.claims {
+		if _, m := n.book.Machines.Find(name); m == nil || m.Phase == bookkeeping.PhaseReturning || !m.There() || m.Shard == f.claims[name] {
+			delete(f.claims, name)
+		}
+	}
+	var sorted []*supply
+	for i := range f.left {
+		d := f.left[i]
+		if !d.job.Standing() || f.asking(d) {
+			continue
+		}
+		d.zones = slices.Clone(d.zones)
+		for name, shard := range f.claims {
+			if _, m := n.book.Machines.Find(name); shard == d.shard && n.book.Suits(d.job, m) {
+				for range min(d.zone(m.ZoneIdx), holds(&n.book.Types[m.TypeIdx], d.job)) {
+					d.take(m.ZoneIdx)
+				}
+			}
+		}
+		if d.count > 0 && sorted == nil {
+			sorted = slices.SortedStableFunc(slices.Values(list), func(a, b *supply) int {
+				return cmp.Compare(a.booked(n.book.Types), b.booked(n.book.Types))
+			})
+		}
+		for _, x := range sorted {
+			if d.count <= 0 {
+				break
+			}
+			if _, claimed := f.claims[x.m.Name]; claimed || x.shard == d.shard || x.service || !x.ready || !x.taking || d.zone(x.zone) < 1 ||
+				!n.book.Suits(d.job, x.m) || f.pending(x.m) || f.l.outranks(x.m, d.job) {
+				continue
+			}
+			f.claims[x.m.Name] = d.shard
+			n.Log.Info("machine claimed", "name", x.m.Name, "from", x.shard, "for", d.shard, "term", f.l.term)
+			f.phase(x.m, bookkeeping.PhaseDrain, "claimed by work of a higher rank")
+			for range min(d.zone(x.zone), holds(&n.book.Types[x.typ], d.job)) {
+				d.take(x.zone)
+			}
+		}
+	}
+}
+
+// asking reports whether machines that suit a demand can still be rented.
+func (f *fleet) asking(d demand) bool {
+	s := &sizing{types: f.l.n.book.Types, zones: f.l.n.book.ZoneNames.ID, fits: f.l.n.book.Fits,
+		refused: func(p pool) bool { return f.l.n.now() < f.refusedAt[p].until }}
+	_, _, ok := s.cheapest(d, nil)
+	return ok
+}
+
+// outranks reports whether anything on a machine is of the job's rank or above.
+func (l *leadership) outranks(m *bookkeeping.Machine, j *bookkeeping.Job) bool {
+	for ref := range m.Intents {
+		if o := l.n.book.Jobs.Get(ref.Job); !o.Over() && o.Rank() <= j.Rank() {
+			return true
+		}
+	}
+	return false
+}
+
 // window is how long a machine must be idle before it goes: the give-back
 // window for the cheapest CPUs there are, less for dearer ones, so that waiting
 // for work costs the same whatever waits.
@@ -628,31 +907,6 @@
 	return time.Duration(float64(f.give) * min(1, cheapest*t.CPUs/hourly))
 }
 
-// move hands idle machines of other homes to those that wait.
-func (f *fleet) move(left []demand) {
-	n := f.l.n
-	needs := map[int]bool{}
-	for _, d := range left {
-		needs[d.shard] = true
-	}
-	if len(needs) == 0 {
-		return
-	}
-	for _, d := range left {
-		n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
-			if d.count <= 0 || m.Version == 0 || m.Phase != bookkeeping.PhaseActive || len(m.Intents) > 0 || m.Shard == d.shard || needs[m.Shard] ||
-				!n.book.Suits(d.job, m) || f.writing[m.Name] {
-				return
-			}
-			d.count -= holds(&n.book.Types[m.TypeIdx], d.job)
-			rec := m.MachineRecord
-			rec.Shard, rec.Token = d.shard, f.l.token()
-			n.Log.Info("machine moves", "name", m.Name, "from", m.Shard, "to", d.shard, "term", f.l.term)
-			f.write(m, rec, true)
-		})
-	}
-}
-
 const historyLen = 200
 
 func (f *fleet) note(d Decision) {
@@ -682,7 +936,7 @@
 func (n *Node) Autoscaler() (Status, []Decision) {
 	s := Status{Node: n.Settings.Node, Leader: n.book.Leader.Node, Term: n.book.Term, Leading: n.lead != nil, Ready: n.ready, Target: n.book.Target.Target}
 	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
-		if m.Version != 0 && m.Phase != bookkeeping.PhaseGone {
+		if m.There() {
 			s.Fleet++
 		}
 	})
--- a/internal/coordination/grant.go
+++ b/internal/coordination/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -20,6 +21,8 @@
 	heard       time.Duration
 	fresh       bool
 	left        bool // it ended by itself and gave up what it held
+	shares      uint64
+	kept        bool
 	notes       map[string]protocol.MachineNote
 }
 
@@ -31,6 +34,7 @@
 	p := &protocol.Ping{
 		Node: n.Settings.Node, Incarnation: n.incarnation, SentAt: n.now(), Term: n.book.Leader.Term,
 		FreshFor: n.now() - n.freshAt, Leaving: n.stopped, Machines: n.hold.notes(),
+		Shares: n.book.SharesVer, Kept: n.hold.keepsShares(),
 	}
 	for _, name := range slices.Sorted(maps.Keys(n.strangers)) {
 		p.Strangers = append(p.Strangers, n.strangers[name])
@@ -92,7 +96,7 @@
 	}
 	info.incarnation = p.Incarnation
 	info.heard, info.fresh = now, p.FreshFor < n.authority/2
-	info.left = p.Leaving
+	info.left, info.shares, info.kept = p.Leaving, p.Shares, p.Kept
 	info.notes = make(map[string]protocol.MachineNote, len(p.Machines))
 	for _, m := range p.Machines {
 		info.notes[m.Name] = m
@@ -133,6 +137,7 @@
 		}
 	}
 	l.homesTick()
+	l.sharesTick()
 	for s := range n.shards {
 		g := &n.book.Grants[s]
 		if l.granting[s] || now < l.grantAt[s] {
@@ -170,8 +175,8 @@
 	}
 }
 
-// work reports whether a shard is any team's home.
-func (l *leadership) work(shard int) bool { return slices.Contains(l.n.book.Homes, shard) }
+// work reports whether a shard is a home.
+func (l *leadership) work(shard int) bool { return shard < l.n.book.Homes }
 
 // best chooses a controller for a shard: one that is alive, with the fewest
 // shards that are homes, rather not the leader, which has the fleet to see to.
@@ -217,45 +222,180 @@
 	})
 }
 
-// homesTick gives every team of the settings a home. Teams share a home as long
-// as the operators' options let them, because machines split among homes can't
-// be packed together.
+// homesTick settles once into how many homes the work is split. Machines split
+// among homes can't be packed together, and one controller's sums are simplest,
+// so three controllers have one home; of more, each is a home but the leader's
+// and one in reserve.
 func (l *leadership) homesTick() {
 	n := l.n
-	missing := false
-	teams := make([]int, n.shards)
-	homes := map[string]int{}
-	for i, s := range n.book.Homes {
-		if s < 0 {
-			missing = true
-			continue
-		}
-		teams[s]++
-		homes[n.book.TeamNames.Name(i)] = s
-	}
-	if !missing || l.homing || n.now() < l.homeAt {
+	if n.book.Homes > 0 || l.homing || n.now() < l.homeAt {
 		return
 	}
-	for i, s := range n.book.Homes {
-		if s >= 0 {
-			continue
-		}
-		to := 0
-		for to < n.shards-1 && teams[to] >= n.Options.HomeTeams {
-			to++
-		}
-		if teams[to] >= n.Options.HomeTeams {
-			to = slices.Index(teams, slices.Min(teams))
-		}
-		teams[to]++
-		homes[n.book.TeamNames.Name(i)] = to
+	homes := n.Options.Homes
+	if homes == 0 {
+		homes = len(n.nodes) - 2
 	}
+	rec := bookkeeping.HomesRecord{Homes: max(1, min(homes, n.shards))}
 	l.homing = true
 	n.State.Txn(protocol.Txn{
 		If:   []protocol.Cond{l.cond(), {Key: bookkeeping.KeyHomes, Version: n.book.HomesVer}},
-		Then: []protocol.Op{{Put: bookkeeping.KeyHomes, Value: bookkeeping.Encode(homes)}},
+		Then: []protocol.Op{{Put: bookkeeping.KeyHomes, Value: bookkeeping.Encode(rec)}},
 	}, func(uint64, error) {
 		l.homing = false
 		l.homeAt = n.now() + retryPause
 	})
 }
+
+// sharesTick splits the teams' guarantees and limits among the homes, so that
+// each stays one controller's sum. Shares of a team never sum above the whole:
+// what one home is to get more, another gives up first, in a record of its own,
+// and only once that home's holder has said that it keeps to the smaller share
+// is it given on.
+func (l *leadership) sharesTick() {
+	n := l.n
+	b := n.book
+	if b.Homes <= 1 || l.sharing || n.now() < l.shareAt {
+		return
+	}
+	settled := true // all homes keep to the shares as they stand
+	conds := []protocol.Cond{l.cond(), {Key: bookkeeping.KeyShares, Version: b.SharesVer}}
+	for s := range b.Homes {
+		g := &b.Grants[s]
+		p := l.peers[g.Node]
+		settled = settled && p != nil && p.incarnation == g.Incarnation && p.shares == b.SharesVer && p.kept
+		conds = append(conds, protocol.Cond{Key: bookkeeping.GrantKey(s), Version: g.Version})
+	}
+	rec := bookkeeping.SharesRecord{}
+	change := false
+	needs := l.needs()
+	for i := range b.Teams {
+		t := &b.Teams[i]
+		if !t.Limited() {
+			continue
+		}
+		next := splitShares(t.Shares, needs[i], settled)
+		rec[t.Name] = next
+		change = change || !slices.Equal(next, t.Shares)
+	}
+	if !change {
+		return
+	}
+	l.sharing = true
+	n.budget.force(n.now(), 1)
+	n.State.Txn(protocol.Txn{If: conds, Then: []protocol.Op{{Put: bookkeeping.KeyShares, Value: bookkeeping.Encode(rec)}}}, func(uint64, error) {
+		l.sharing = false
+		l.shareAt = n.now() + time.Second
+	})
+}
+
+// wholeShare is all of a team's guarantee and limit.
+const wholeShare = 1000
+
+// need is what a team uses in a home and waits for there, in thousandths of its
+// limit.
+type need struct{ used, waits int }
+
+// splitShares works out a team's next shares from the present ones and what each
+// home needs. A home gets more only out of what nobody has, and only while all
+// are known to keep to the present shares; when one lacks, what others have
+// beyond their due is taken from them first. Services, which are homes 1 and up,
+// come before the work that ends.
+func splitShares(now []int, needs []need, settled bool) []int {
+	homes := len(needs)
+	due := make([]int, homes)
+	left := wholeShare
+	for i, n := range needs {
+		due[i] = n.used
+		left -= n.used
+	}
+	for i := range homes {
+		home := (i + 1) % homes
+		more := max(0, min(needs[home].waits, left))
+		due[home] += more
+		left -= more
+	}
+	for i := range homes { // what nobody waits for is room to grow
+		due[i] += max(left, 0) / homes
+	}
+	if len(now) != homes {
+		return due
+	}
+	lacks := false
+	free := wholeShare
+	for i, s := range now {
+		lacks = lacks || needs[i].used+needs[i].waits > s && due[i] > s
+		free -= s
+	}
+	next := slices.Clone(now)
+	if !lacks || !settled {
+		return next
+	}
+	for i, s := range now {
+		switch {
+		case due[i] < s:
+			next[i] = due[i]
+		case due[i] > s:
+			more := min(due[i]-s, free)
+			next[i] += more
+			free -= more
+		}
+	}
+	return next
+}
+
+// needs is what each team uses and waits for in each home, in thousandths of its
+// limit, or of its guarantee where it has no limit.
+func (l *leadership) needs() [][]need {
+	b := l.n.book
+	used, waits := make([][]usage, len(b.Teams)), make([][]usage, len(b.Teams))
+	for i := range used {
+		used[i], waits[i] = make([]usage, b.Homes), make([]usage, b.Homes)
+	}
+	b.Jobs.All(func(_ int, j *bookkeeping.Job) {
+		if j.Over() || j.Home < 0 || j.Home >= b.Homes {
+			return
+		}
+		u, w := &used[j.TeamIdx][j.Home], &waits[j.TeamIdx][j.Home]
+		u.cpus += float64(j.Running()) * j.CPUs
+		u.gpus += float64(j.Running()) * j.GPUs
+		w.cpus += float64(j.Open()) * j.CPUs
+		w.gpus += float64(j.Open()) * j.GPUs
+	})
+	part := func(amount, limit, guarantee float64) int {
+		whole := limit
+		if whole <= 0 {
+			whole = guarantee
+		}
+		if whole <= 0 {
+			return 0
+		}
+		return int(min(math.Ceil(amount/whole*wholeShare), wholeShare))
+	}
+	out := make([][]need, len(b.Teams))
+	for i := range b.Teams {
+		t := &b.Teams[i]
+		for home := range b.Homes {
+			u, w := used[i][home], waits[i][home]
+			out[i] = append(out[i], need{
+				max(part(u.cpus, t.CPUsMax, t.CPUs), part(u.gpus, t.GPUsMax, t.GPUs)),
+				max(part(w.cpus, t.CPUsMax, t.CPUs), part(w.gpus, t.GPUsMax, t.GPUs)),
+			})
+		}
+	}
+	return out
+}
+
+// keepsShares reports whether nothing this node holds takes more than the teams'
+// shares allow.
+func (h *holder) keepsShares() bool {
+	b := h.n.book
+	for s := range h.desks {
+		for i, u := range h.used(s) {
+			t := &b.Teams[i]
+			if !keeps(u.cpus, t.CPUsMax, b.Share(t, s, t.CPUsMax)) || !keeps(u.gpus, t.GPUsMax, b.Share(t, s, t.GPUsMax)) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -26,13 +26,18 @@
 // attempt is one try at a task on one machine.
 type attempt struct {
 	job       *bookkeeping.Job
+	prog      *progress
 	task      int
 	try       uint64
 	on        *holding
+	page      *page // of intents that names it; nil until one is chosen
+	width     int   // of its entry there, the machine's name aside
 	state     taskState
 	cause     string
 	token     uint64 // highest token under which a start may have been sent
 	session   uint64 // the worker's session at that time; 0: not known
+	sentAt    time.Duration
+	seen      uint64 // number of the last report that listed it
 	inherited bool   // taken over from an earlier holder, not seen yet
 	stop      bool   // wanted gone
 	grace     float64
@@ -48,6 +53,9 @@
 // live reports whether the task may still be on the machine.
 func (a *attempt) live() bool { return a.state != taskEnded }
 
+// durable reports whether the records name the attempt.
+func (a *attempt) durable() bool { return a.on.m.Intents[a.ref()].Try == a.try }
+
 // holding is a holder's view of one machine under its current grant.
 type holding struct {
 	m     *bookkeeping.Machine
@@ -70,16 +78,19 @@
 	cpus     float64 // taken by live attempts
 	gpus     float64
 	memory   float64
+	services float64 // CPUs of those that are replicas
 
+	busy     bool // there may be orders to send
 	inFlight bool // a direct command is on its way
 	again    bool // and another is wanted
 	mute     time.Duration
 	pushed   time.Duration
 
-	writing bool
-	wroteAt uint64 // revision that must be in the book before the next write
-	writeAt time.Duration
-	dirtyAt time.Duration
+	// A machine whose reports arrive but which no answer reaches. Its highest
+	// token stays below what it was answered, its session moves on although it
+	// was answered, or starts go unheeded.
+	unheard time.Duration // since when its reports show that it misses answers; 0: they don't
+	deaf    bool
 
 	images map[int]time.Duration // when an image was last wanted here
 	errors int                   // in a row
@@ -92,24 +103,41 @@
 type holder struct {
 	n        *Node
 	machines map[string]*holding
+	list     []*holding // the same, by name
+	desks    map[int]*desk
 	placed   map[bookkeeping.TaskRef]int // attempts of a task that are not proven over
 	jobs     map[*bookkeeping.Job]*progress
-	usage    []usage // by team
+	mine     []*bookkeeping.Job // unfinished jobs of the homes held, in the order of arrival
+	jobsSeen uint64
+	usage    map[int][]usage // by home and team
+	ranks    [maxRank]int    // live attempts by rank
+	services float64         // CPUs that replicas take
+	ended    []*attempt      // completed, waiting to be durable
+	ending   []*progress     // all tasks done, waiting to be durable
 	tries    uint64
 	kicked   bool
+	passAt   time.Duration // no pass before
+
+	summaryAt time.Duration
 }
 
+// maxRank bounds protocol.Spec.Rank.
+const maxRank = 8
+
 type usage struct{ cpus, gpus float64 }
 
 // progress is what the home knows about a job beyond its record.
 type progress struct {
+	job      *bookkeeping.Job
 	done     bookkeeping.Bits // settled as done here, durable or not
 	doneN    int
-	next     int // no task below it waits to be placed
+	pages    map[int]*donePage // by chunk
+	next     int               // no task below it waits to be placed
+	attempts int
+	zones    []int // attempts that may be on a machine, by zone
 	writing  bool
 	wroteAt  uint64
 	retryAt  time.Duration
-	dirtyAt  time.Duration
 	fails    int
 	runs     int             // completed tasks with a known run time
 	runSum   float64         // seconds
@@ -119,27 +147,44 @@
 
 func newHolder(n *Node) *holder {
 	return &holder{
-		n: n, machines: map[string]*holding{}, placed: map[bookkeeping.TaskRef]int{},
-		jobs: map[*bookkeeping.Job]*progress{}, usage: make([]usage, len(n.Settings.Cluster.Teams)),
+		n: n, machines: map[string]*holding{}, placed: map[bookkeeping.TaskRef]int{}, desks: map[int]*desk{},
+		jobs: map[*bookkeeping.Job]*progress{}, usage: map[int][]usage{},
+	}
+}
+
+// used is what a home's attempts take, by team.
+func (h *holder) used(home int) []usage {
+	u := h.usage[home]
+	if u == nil {
+		u = make([]usage, len(h.n.Settings.Cluster.Teams))
+		h.usage[home] = u
 	}
+	return u
 }
 
 // sync makes the holdings match the grants and the records.
 func (h *holder) sync() {
 	n := h.n
 	now := n.now()
-	for _, x := range h.sorted() {
-		_, m := n.book.Machines.Find(x.m.Name)
-		if m != x.m || (m.Version == 0 || m.Phase == bookkeeping.PhaseGone) && m.IntentVersion == 0 || !n.holds(m.Shard) || x.shard != m.Shard {
-			h.release(x)
-			continue
+	for s := range n.shards {
+		if h.desks[s] != nil && !n.holds(s) {
+			delete(h.desks, s)
+		}
+		if h.desks[s] == nil && n.holds(s) && s < n.book.Homes {
+			h.desks[s] = newDesk(h, s)
 		}
-		if m.Phase == bookkeeping.PhaseGone {
+	}
+	for _, x := range slices.Clone(h.list) {
+		_, m := n.book.Machines.Find(x.m.Name)
+		if m == x.m && !m.There() {
 			h.settleAll(x, "machine is gone")
 		}
+		if m != x.m || !m.There() || h.desks[m.Shard] == nil || x.shard != m.Shard {
+			h.release(x)
+		}
 	}
 	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
-		if !n.holds(m.Shard) || m.Version == 0 || m.Phase == bookkeeping.PhaseGone && m.IntentVersion == 0 {
+		if !m.There() || h.desks[m.Shard] == nil {
 			return
 		}
 		base := max(n.book.Grants[m.Shard].Token, m.Token)
@@ -151,7 +196,7 @@
 		}
 	})
 	// What a withdrawn or completed job still has on machines is stopped.
-	for _, x := range h.sorted() {
+	for _, x := range h.list {
 		halt := false
 		for _, a := range x.attempts {
 			if a.job.Over() && a.live() && (!a.stop || a.grace > 0) {
@@ -159,11 +204,12 @@
 			}
 		}
 		if halt {
+			x.busy = true
 			h.push(x)
 		}
 	}
-	for j := range h.jobs {
-		if j.Over() && j.Refs == 0 || !n.holds(n.book.Home(j)) {
+	for j, p := range h.jobs {
+		if j.Over() && p.attempts == 0 || h.desks[j.Home] == nil {
 			delete(h.jobs, j)
 		}
 	}
@@ -177,16 +223,16 @@
 		attempts: map[bookkeeping.TaskRef]*attempt{}, images: map[int]time.Duration{}, session: 1,
 	}
 	h.machines[m.Name] = x
+	i, _ := slices.BinarySearchFunc(h.list, m.Name, func(y *holding, name string) int { return cmp.Compare(y.m.Name, name) })
+	h.list = slices.Insert(h.list, i, x)
 	for _, ref := range refs(m.Intents) {
-		a := &attempt{job: h.n.book.Jobs.Get(ref.Job), task: ref.Task, try: m.Intents[ref], on: x, token: base - 1, inherited: true, planned: now}
+		a := &attempt{job: h.n.book.Jobs.Get(ref.Job), task: ref.Task, try: m.Intents[ref].Try, on: x, token: base - 1, inherited: true, planned: now}
 		a.stop = a.job.Over()
 		h.add(a)
-	}
-	if m.Phase == bookkeeping.PhaseGone {
-		h.settleAll(x, "machine is gone")
-		return
+		h.desks[m.Shard].page(m.Intents[ref].Page).put(a)
 	}
 	if len(m.Intents) > 0 {
+		x.busy = true
 		h.push(x)
 	}
 }
@@ -198,12 +244,16 @@
 		h.remove(x.attempts[ref])
 	}
 	delete(h.machines, x.m.Name)
+	h.list = slices.DeleteFunc(h.list, func(y *holding) bool { return x == y })
 }
 
 // add and remove keep the sums of machines and teams.
 func (h *holder) add(a *attempt) {
+	a.prog = h.progress(a.job)
+	a.prog.attempts++
 	a.job.Refs++
 	a.on.attempts[a.ref()] = a
+	a.on.busy = true
 	h.placed[a.ref()]++
 	h.charge(a, 1)
 	if a.job.Image != "" {
@@ -216,24 +266,39 @@
 	x.cpus += sign * a.job.CPUs
 	x.gpus += sign * a.job.GPUs
 	x.memory += sign * a.job.MemoryGB
+	if a.job.Standing() {
+		x.services += sign * a.job.CPUs
+		h.services += sign * a.job.CPUs
+	}
+	h.ranks[min(a.job.Rank(), maxRank-1)] += int(sign)
+	for len(a.prog.zones) <= x.m.ZoneIdx {
+		a.prog.zones = append(a.prog.zones, 0)
+	}
+	a.prog.zones[x.m.ZoneIdx] += int(sign)
 	if t := a.job.TeamIdx; t >= 0 {
-		h.usage[t].cpus += sign * a.job.CPUs
-		h.usage[t].gpus += sign * a.job.GPUs
+		u := &h.used(x.shard)[t]
+		u.cpus += sign * a.job.CPUs
+		u.gpus += sign * a.job.GPUs
 	}
 }
 
 func (h *holder) remove(a *attempt) {
 	if a.live() {
 		h.charge(a, -1)
+		a.state = taskEnded
+	}
+	if a.on.attempts[a.ref()] == a {
+		delete(a.on.attempts, a.ref())
+	}
+	if a.page != nil {
+		a.page.drop(a, h.n.now())
 	}
-	delete(a.on.attempts, a.ref())
 	if h.placed[a.ref()]--; h.placed[a.ref()] <= 0 {
 		delete(h.placed, a.ref())
 	}
 	a.job.Refs--
-	if p := h.jobs[a.job]; p != nil {
-		p.next = min(p.next, a.task)
-	}
+	a.prog.attempts--
+	a.prog.next = min(a.prog.next, a.task)
 	h.n.book.DropJob(a.job)
 }
 
@@ -245,19 +310,17 @@
 	}
 	h.charge(a, -1)
 	a.state, a.cause = taskEnded, cause
-	x := a.on
-	if x.dirtyAt == 0 {
-		x.dirtyAt = h.n.now()
-	}
-	if cause == protocol.CauseDone && !a.job.Over() && a.job.Kind != protocol.KindService {
-		p := h.progress(a.job)
-		if !p.done.Has(a.task) {
+	if cause == protocol.CauseDone && !a.job.Over() && !a.job.Standing() {
+		if p := a.prog; !p.done.Has(a.task) {
 			p.done.Set(a.task)
 			p.doneN++
-			if p.dirtyAt == 0 {
-				p.dirtyAt = h.n.now()
+			if p.doneN >= a.job.Tasks {
+				h.ending = append(h.ending, p)
+			} else if d := h.desks[a.on.shard]; d != nil {
+				d.completed(p, a.task/bookkeeping.ChunkTasks, h.n.now())
 			}
 		}
+		h.ended = append(h.ended, a)
 		return
 	}
 	h.remove(a)
@@ -277,8 +340,16 @@
 func (h *holder) progress(j *bookkeeping.Job) *progress {
 	p := h.jobs[j]
 	if p == nil {
-		p = &progress{done: j.Done.Clone(), doneN: j.DoneN}
+		p = &progress{job: j, done: j.Done.Clone(), doneN: j.DoneN, pages: map[int]*donePage{}}
 		h.jobs[j] = p
+		if d := h.desks[j.Home]; d != nil {
+			for chunk, k := range j.DonePage {
+				d.donePage(k).put(p, chunk)
+			}
+		}
+		if !j.Over() && !j.Standing() && p.doneN >= j.Tasks {
+			h.ending = append(h.ending, p)
+		}
 	}
 	return p
 }
@@ -290,14 +361,14 @@
 		return
 	}
 	_, m := n.book.Machines.Find(r.Machine)
-	if m == nil || m.Version == 0 {
+	if m == nil || m.Block == "" {
 		if len(n.strangers) < 200 {
 			n.strangers[r.Machine] = *r
 		}
 		reply(comeBack("machine not known yet"))
 		return
 	}
-	if m.Phase == bookkeeping.PhaseGone || m.Shard < 0 || m.Shard >= n.shards {
+	if !m.There() || m.Shard < 0 || m.Shard >= n.shards {
 		reply(comeBack("machine was given back"))
 		return
 	}
@@ -307,7 +378,13 @@
 			reply(comeBack("not entitled to this machine now"))
 			return
 		}
-		n.hold.report(x, r)
+		if !r.Newer(x.session, x.seq) && n.now()-x.heard > workerPatience {
+			// A copy that was held back on its way. Nobody waits for its answer,
+			// and it must not count as the renewal of a lease.
+			reply(comeBack("an old report"))
+			return
+		}
+		n.hold.report(x, r, true)
 		x.answered = n.now()
 		cmds := n.hold.orders(x)
 		reply(Answer{Status: http.StatusOK, Body: protocol.Orders{Token: x.token, Commands: cmds}})
@@ -325,14 +402,19 @@
 	reply(Answer{Status: http.StatusMisdirectedRequest, Body: protocol.Redirect{Boss: g.Node}})
 }
 
+// workerPatience is how long a worker waits for the answer to a report.
+const workerPatience = 4 * time.Second
+
 // report takes in what a worker says. Old news is ignored: held packets can
-// bring reports minutes late.
-func (h *holder) report(x *holding, r *protocol.Report) {
+// bring reports minutes late. asked is set where the worker waits for an answer;
+// otherwise the report itself answers a command and shows that those get through.
+func (h *holder) report(x *holding, r *protocol.Report, asked bool) {
 	n := h.n
 	now := n.now()
 	if !r.Newer(x.session, x.seq) {
 		return
 	}
+	h.listen(x, r, asked)
 	x.session, x.seq, x.heard = r.Session, r.Seq, now
 	x.fenced = r.Token >= x.base
 	if r.Address != "" {
@@ -344,7 +426,7 @@
 		x.notice = 0
 	}
 	x.extras = x.extras[:0]
-	seen := make(map[bookkeeping.TaskRef]bool, len(r.Tasks))
+	found, news := 0, false
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		id, task, err := protocol.SplitTask(t.Task)
@@ -357,9 +439,11 @@
 		a := x.attempts[ref]
 		if idx < 0 || a == nil || a.try != t.Attempt {
 			x.extras = append(x.extras, *t)
+			x.busy = true
 			continue
 		}
-		seen[ref] = true
+		a.seen = r.Seq
+		found++
 		if !a.live() {
 			continue
 		}
@@ -373,35 +457,81 @@
 		case protocol.TaskSaving:
 			a.state = taskSaving
 		case protocol.TaskEnded:
-			h.ended(a, t)
+			h.ended1(a, t)
+			news = true
 		}
 	}
-	for _, ref := range refs(x.attempts) {
-		a := x.attempts[ref]
-		if seen[ref] || !a.live() {
-			continue
+	if found < len(x.attempts) {
+		for _, ref := range refs(x.attempts) {
+			a := x.attempts[ref]
+			if a.seen == r.Seq || !a.live() {
+				continue
+			}
+			switch {
+			case a.session != 0 && r.Session > a.session:
+				h.end(a, "session over")
+			case a.state != taskPlanned:
+				// Seen before and not any more: it is over. Only a new session or a
+				// reap of ours does this, and both come after its end.
+				h.end(a, "vanished")
+			case a.inherited && x.fenced, a.stop && a.token > 0 && r.Token > a.token:
+				// Not there, and every start that was ever sent for it is fenced.
+				h.end(a, "never started")
+			default:
+				continue
+			}
+			news = true
 		}
-		switch {
-		case a.session != 0 && r.Session > a.session:
-			h.end(a, "session over")
-		case a.state != taskPlanned:
-			// Seen before and not any more: it is over. Only a new session or a
-			// reap of ours does this, and both come after its end.
-			h.end(a, "vanished")
-		case a.inherited && x.fenced, a.stop && a.token > 0 && r.Token > a.token:
-			// Not there, and every start that was ever sent for it is fenced.
-			h.end(a, "never started")
+	}
+	if news || x.busy {
+		h.kick()
+	}
+}
+
+// listen judges from a report whether answers and commands reach the machine. A
+// worker shows a higher token in its next report, a new task likewise, and its
+// session stays as long as its reports are answered. One that shows none of it
+// though it was answered for several reports hears nothing: what it runs ends
+// with its lease, and it must not be counted on.
+func (h *holder) listen(x *holding, r *protocol.Report, asked bool) {
+	n := h.n
+	now := n.now()
+	w := n.Settings.Cluster.Workers
+	if !asked {
+		x.unheard, x.deaf = 0, false
+		return
+	}
+	patience := 2*w.Report() + workerPatience
+	misses := r.Session > x.session && x.seq > 0 && now-x.answered < w.Lease()/2 && now-x.since > w.Lease()
+	if r.Token < x.base && now-x.since > patience {
+		misses = true
+	}
+	if !misses {
+		for _, a := range x.attempts {
+			if a.state == taskPlanned && a.token > 0 && !a.inherited && now-a.sentAt > patience &&
+				!slices.ContainsFunc(r.Tasks, func(t protocol.TaskStatus) bool { return t.Attempt == a.try }) {
+				misses = true
+				break
+			}
 		}
 	}
-	h.kick()
+	switch {
+	case !misses:
+		x.unheard = 0
+	case x.unheard == 0:
+		x.unheard = now
+	case now-x.unheard > patience && !x.deaf:
+		x.deaf = true
+		n.Log.Info("machine hears nothing", "machine", x.m.Name, "session", r.Session, "token", r.Token)
+	}
 }
 
-// ended takes in that a task was reported ended.
-func (h *holder) ended(a *attempt, t *protocol.TaskStatus) {
+// ended1 takes in that a task was reported ended.
+func (h *holder) ended1(a *attempt, t *protocol.TaskStatus) {
 	n := h.n
 	x := a.on
 	now := n.now()
-	p := h.progress(a.job)
+	p := a.prog
 	switch t.Cause {
 	case protocol.CauseDone:
 		x.errors, p.fails, p.failedOn = 0, 0, nil
@@ -455,7 +585,7 @@
 // its last report showed.
 func (h *holder) orders(x *holding) []protocol.Command {
 	cmds := []protocol.Command{}
-	if !x.fenced {
+	if !x.fenced || !x.busy {
 		return cmds
 	}
 	now := h.n.now()
@@ -480,16 +610,7 @@
 		list = append(list, a)
 	}
 	slices.SortFunc(list, func(a, b *attempt) int {
-		if a.stop != b.stop {
-			if a.stop {
-				return -1
-			}
-			return 1
-		}
-		if a.planned != b.planned {
-			return int(a.planned - b.planned)
-		}
-		return a.task - b.task
+		return cmp.Or(compareBool(b.stop, a.stop), cmp.Compare(a.planned, b.planned), cmp.Compare(a.job.Index, b.job.Index), cmp.Compare(a.task, b.task))
 	})
 	for _, a := range list {
 		name := protocol.TaskName(a.job.ID, a.task)
@@ -506,8 +627,11 @@
 			g := a.grace
 			a.halted = now
 			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: name, Attempt: a.try, GraceS: &g})
-		case a.state == taskPlanned && x.m.Intents[a.ref()] == a.try && !a.job.Over() && !a.inherited:
+		case a.state == taskPlanned && a.durable() && !a.job.Over() && !a.inherited:
 			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStart, Task: name, Attempt: a.try})
+			if a.token == 0 {
+				a.sentAt = now
+			}
 			a.token, a.session = x.token, x.session
 			x.sent = x.token
 		}
@@ -522,7 +646,7 @@
 		x.again = true
 		return
 	}
-	if !n.entitled(x.shard) || n.now() < x.mute || x.addr == "" || x.m.Phase == bookkeeping.PhaseGone {
+	if !n.entitled(x.shard) || n.now() < x.mute || x.addr == "" || !x.m.There() {
 		return
 	}
 	cmds := h.orders(x)
@@ -546,7 +670,7 @@
 			return
 		}
 		stale := !done && r.Session != o.Session
-		h.report(x, r)
+		h.report(x, r, false)
 		if x.again || stale {
 			h.push(x)
 		}
@@ -556,7 +680,8 @@
 // unsettled reports whether a machine has tasks that nobody asked for, or a
 // stop that still needs its proof.
 func (h *holder) unsettled(x *holding) bool {
-	if len(x.extras) > 0 {
+	// Ended ones are reaped with the next answer or start; that is soon enough.
+	if slices.ContainsFunc(x.extras, func(t protocol.TaskStatus) bool { return t.State != protocol.TaskEnded }) {
 		return true
 	}
 	for _, a := range x.attempts {
@@ -567,13 +692,14 @@
 	return false
 }
 
-// kick asks for a pass over all that this node holds, soon but once.
+// kick asks for a pass over all that this node holds, soon but once. A pass that
+// took long is followed by a longer pause, so that reports are answered first.
 func (h *holder) kick() {
 	if h.kicked {
 		return
 	}
 	h.kicked = true
-	h.n.later(5*time.Millisecond, func() {
+	h.n.later(max(5*time.Millisecond, h.passAt-h.n.now()), func() {
 		h.kicked = false
 		h.pass()
 	})
@@ -584,7 +710,7 @@
 	n := h.n
 	now := n.now()
 	lease := n.Settings.Cluster.Workers.Lease()
-	for _, x := range h.sorted() {
+	for _, x := range h.list {
 		if len(x.attempts) > 0 {
 			// The worker's lease is provably out: neither this holder nor, until
 			// its knowledge ran out, an earlier one can have renewed it since.
@@ -597,46 +723,90 @@
 			h.push(x)
 		}
 	}
-	h.pass()
+	if now >= h.summaryAt {
+		h.summaryAt = now + summaryEvery
+		for s := range n.shards {
+			if h.desks[s] != nil {
+				h.summary(s)
+			}
+		}
+	}
+	h.kick()
 }
 
+const summaryEvery = 10 * time.Second
+
+// summary logs how a home stands.
+func (h *holder) summary(shard int) {
+	n := h.n
+	machines, usable, full := 0, 0, 0
+	for _, x := range h.list {
+		if x.shard != shard {
+			continue
+		}
+		machines++
+		if h.usable(x, n.now()) {
+			usable++
+			if h.free(x).cpus < 1 {
+				full++
+			}
+		}
+	}
+	states := map[taskState]int{}
+	unwritten, waits := 0, 0
+	for _, x := range h.list {
+		for _, a := range x.attempts {
+			if x.shard == shard {
+				states[a.state]++
+				if !a.durable() && a.live() {
+					unwritten++
+				}
+			}
+		}
+	}
+	for _, j := range h.unfinished() {
+		if j.Home == shard {
+			p := h.progress(j)
+			waits += max(0, j.Tasks-p.doneN-p.attempts)
+		}
+	}
+	n.Log.Info("home", "shard", shard, "machines", machines, "usable", usable, "full", full, "waiting", waits,
+		"unwritten", unwritten, "planned", states[taskPlanned], "fetching", states[taskFetching], "running", states[taskRunning],
+		"saving", states[taskSaving], "ended", states[taskEnded], "pages", len(h.desks[shard].pages), "writes", n.budget.level)
+}
+
+// passPause is the least time between two passes.
+const passPause = 25 * time.Millisecond
+
 // pass places what waits, writes what must be durable and sends what follows.
 func (h *holder) pass() {
 	n := h.n
 	if !n.ready {
 		return
 	}
+	began := n.now()
 	h.stops()
 	h.place()
-	for _, x := range h.sorted() {
-		if n.entitled(x.shard) {
-			h.writeIntents(x)
-			if x.fenced && (h.startable(x) || h.unsettled(x) && n.now()-x.pushed > 500*time.Millisecond) {
-				h.push(x)
-			}
+	for s := range n.shards {
+		if d := h.desks[s]; d != nil && n.entitled(s) {
+			d.flush()
 		}
 	}
-	h.writeDone()
-}
-
-// sorted gives the holdings in a fixed order.
-func (h *holder) sorted() []*holding {
-	list := make([]*holding, 0, len(h.machines))
-	for _, x := range h.machines {
-		list = append(list, x)
-	}
-	slices.SortFunc(list, func(a, b *holding) int {
-		if a.m.Name < b.m.Name {
-			return -1
+	for _, x := range h.list {
+		if !x.busy || !n.entitled(x.shard) || !x.fenced {
+			continue
 		}
-		return 1
-	})
-	return list
-}
-
-// mine gives the jobs this home works on in a fixed order.
-func (h *holder) mine() []*bookkeeping.Job {
-	return slices.SortedFunc(maps.Keys(h.jobs), func(a, b *bookkeeping.Job) int { return cmp.Compare(a.Index, b.Index) })
+		startable, unsettled := h.startable(x), h.unsettled(x)
+		if startable || unsettled && n.now()-x.pushed > 500*time.Millisecond {
+			h.push(x)
+		} else if !unsettled && len(x.extras) == 0 && !slices.ContainsFunc(slices.Collect(maps.Values(x.attempts)), func(a *attempt) bool {
+			return a.live() && (a.stop || a.state == taskPlanned)
+		}) {
+			x.busy = false
+		}
+	}
+	h.finish()
+	h.passAt = n.now() + max(passPause, 6*(n.now()-began))
 }
 
 // refs gives the tasks of a map in a fixed order: what a node does must follow
@@ -651,11 +821,11 @@
 // an order that has gone unheeded.
 func (h *holder) startable(x *holding) bool {
 	now := h.n.now()
-	for ref, a := range x.attempts {
+	for _, a := range x.attempts {
 		if !a.live() {
 			continue
 		}
-		if a.state == taskPlanned && !a.stop && a.token == 0 && x.m.Intents[ref] == a.try {
+		if a.state == taskPlanned && !a.stop && a.token == 0 && a.durable() {
 			return true
 		}
 		if a.stop && (a.halted == 0 || now-a.halted > 2*time.Second && a.state != taskSaving) {
@@ -669,15 +839,21 @@
 // and which can save in time, and services of machines that go back.
 func (h *holder) stops() {
 	now := h.n.now()
+	wanted := slices.ContainsFunc(h.list, func(x *holding) bool {
+		return x.notice > 0 || x.m.Phase == bookkeeping.PhaseDrain && x.services > 0
+	})
+	if !wanted {
+		return
+	}
 	moving := false
-	machines := h.sorted()
+	machines := h.list
 	for _, x := range machines {
 		for _, a := range x.attempts {
 			left := (x.notice - now).Seconds()
 			if left > 0 && a.state == taskRunning && !a.stop && a.job.CheckpointS > 0 && a.job.SaveS < left && left < a.job.SaveS+3 {
-				a.stop, a.grace = true, a.job.SaveS
+				a.stop, a.grace, x.busy = true, a.job.SaveS, true
 			}
-			moving = moving || a.live() && a.job.Kind == protocol.KindService && (a.stop || a.state != taskRunning)
+			moving = moving || a.live() && a.job.Standing() && (a.stop || a.state != taskRunning)
 		}
 	}
 	// Replicas move one at a time, and only to room that is free now on a machine
@@ -688,195 +864,93 @@
 		}
 		for _, ref := range refs(x.attempts) {
 			a := x.attempts[ref]
-			if a.state != taskRunning || a.stop || a.job.Kind != protocol.KindService {
+			if a.state != taskRunning || a.stop || !a.job.Standing() {
 				continue
 			}
-			to := h.choose(machines, a.job, a.task, nil, now)
+			to := h.choose(machines, a.job, a.task, now)
 			if to == nil {
 				continue
 			}
 			if _, cached := to.images[a.job.ImageIdx]; cached {
 				h.n.Log.Info("move", "job", a.job.ID, "task", a.task, "from", x.m.Name, "to", to.m.Name)
-				a.stop, a.grace, moving = true, a.job.SaveS, true
+				a.stop, a.grace, moving, x.busy = true, a.job.SaveS, true, true
 				break
 			}
 		}
 	}
 }
 
-// writeIntents makes a machine's record say what may be on it. A task only
-// starts once the record names it; the write depends on the grant and on the
-// leader's record of the machine, so that nothing can be put on a machine that
-// has meanwhile been granted elsewhere or is going back.
-func (h *holder) writeIntents(x *holding) {
+// finish makes jobs durable whose tasks are all done, and lets completed
+// attempts leave their machines once that is.
+func (h *holder) finish() {
 	n := h.n
 	now := n.now()
-	if x.writing || n.revision < x.wroteAt || now < x.writeAt {
-		return
-	}
-	adds, drops := false, false
-	for ref, a := range x.attempts {
-		if x.m.Intents[ref] != a.try && a.live() && !a.stop {
-			adds = true
-		}
-	}
-	for ref, try := range x.m.Intents {
-		if a := x.attempts[ref]; a == nil || a.try != try {
-			drops = true
-		}
-	}
-	if x.m.Phase == bookkeeping.PhaseGone && x.m.IntentVersion != 0 && len(x.attempts) == 0 {
-		drops = true // the record itself goes
-	}
-	if !adds && !drops {
-		x.dirtyAt = 0
-		return
-	}
-	if x.dirtyAt == 0 {
-		x.dirtyAt = now
-	}
-	if !adds && now-x.dirtyAt < 400*time.Millisecond {
-		return // removals alone wait for company
-	}
-	if !n.budget.take(now, 1) {
-		return
-	}
-	rec := bookkeeping.IntentRecord{Tasks: []bookkeeping.IntentTask{}}
-	for _, ref := range refs(x.attempts) {
-		a := x.attempts[ref]
-		if !a.live() && a.cause != protocol.CauseDone {
-			continue
-		}
-		rec.Tasks = append(rec.Tasks, bookkeeping.IntentTask{Task: protocol.TaskName(a.job.ID, a.task), Attempt: a.try})
-	}
-	key := bookkeeping.IntentKey(x.m.Name)
-	op := protocol.Op{Put: key, Value: bookkeeping.Encode(rec)}
-	if x.m.Phase == bookkeeping.PhaseGone && len(rec.Tasks) == 0 {
-		op = protocol.Op{Delete: key}
-	}
-	x.writing = true
-	n.State.Txn(protocol.Txn{
-		If: []protocol.Cond{
-			{Key: key, Version: x.m.IntentVersion},
-			{Key: bookkeeping.MachineKey(x.m.Name), Version: x.m.Version},
-			{Key: bookkeeping.GrantKey(x.shard), Version: n.book.Grants[x.shard].Version},
-		},
-		Then: []protocol.Op{op},
-	}, func(revision uint64, err error) {
-		x.writing, x.dirtyAt = false, 0
-		if n.hold != h {
-			return
-		}
-		if err != nil {
-			n.Log.Debug("intents not written", "machine", x.m.Name, "err", err)
-			x.writeAt = n.now() + n.jitter(retryPause/2)
-			return
-		}
-		x.wroteAt = revision
-	})
-}
-
-// writeDone makes completed tasks durable: the job's final state once all are,
-// until then parts of the set, gathered for a moment to spare writes.
-func (h *holder) writeDone() {
-	n := h.n
-	now := n.now()
-	for _, j := range h.mine() {
-		p := h.jobs[j]
-		if j.Over() {
-			continue
-		}
-		if p.writing || n.revision < p.wroteAt || now < p.retryAt {
-			continue
+	h.ending = slices.DeleteFunc(h.ending, func(p *progress) bool {
+		j := p.job
+		if j.Over() || h.jobs[j] != p {
+			return true
 		}
-		shard := n.book.Home(j)
-		if !n.entitled(shard) {
-			continue
+		if p.writing || n.revision < p.wroteAt || now < p.retryAt || !n.entitled(j.Home) || !n.budget.take(now, 2) {
+			return false
 		}
-		grant := protocol.Cond{Key: bookkeeping.GrantKey(shard), Version: n.book.Grants[shard].Version}
-		record := protocol.Cond{Key: bookkeeping.JobKey(j.ID), Version: j.Version}
-		t := protocol.Txn{If: []protocol.Cond{record, grant}}
-		switch {
-		case p.doneN >= j.Tasks && j.Kind != protocol.KindService:
-			t.Then = []protocol.Op{
+		p.writing = true
+		n.State.Txn(protocol.Txn{
+			If: []protocol.Cond{
+				{Key: bookkeeping.JobKey(j.ID), Version: j.Version},
+				{Key: bookkeeping.GrantKey(j.Home), Version: n.book.Grants[j.Home].Version},
+			},
+			Then: []protocol.Op{
 				{Delete: bookkeeping.JobKey(j.ID)},
 				{Put: bookkeeping.FinalKey(j.ID), Value: bookkeeping.Encode(bookkeeping.FinalRecord{Stage: protocol.StageDone, Done: j.Tasks})},
-			}
-			for chunk := range j.DoneVer {
-				if len(t.Then) < n.Settings.Cluster.State.TxnOps {
-					t.Then = append(t.Then, protocol.Op{Delete: bookkeeping.DoneKey(j.ID, chunk)})
-				}
-			}
-		case p.doneN > j.DoneN && now-p.dirtyAt > 500*time.Millisecond:
-			chunk := h.dirtyChunk(j, p)
-			if chunk < 0 {
-				continue
-			}
-			part := p.done[chunk*bookkeeping.ChunkTasks/8:]
-			part = part[:min(len(part), bookkeeping.ChunkTasks/8)]
-			t.If = append(t.If, protocol.Cond{Key: bookkeeping.DoneKey(j.ID, chunk), Version: j.DoneVer[chunk]})
-			t.Then = []protocol.Op{{Put: bookkeeping.DoneKey(j.ID, chunk), Value: bookkeeping.Encode([]byte(part))}}
-		default:
-			continue
-		}
-		if !n.budget.take(now, len(t.Then)) {
-			return
-		}
-		p.writing = true
-		final := p.doneN >= j.Tasks
-		n.State.Txn(t, func(revision uint64, err error) {
+			},
+		}, func(revision uint64, err error) {
 			p.writing = false
 			if n.hold != h {
 				return
 			}
 			if err != nil {
-				n.Log.Debug("completed tasks not written", "job", j.ID, "err", err)
+				n.Log.Debug("completed job not written", "job", j.ID, "err", err)
 				p.retryAt = n.now() + n.jitter(retryPause/2)
 				return
 			}
-			p.wroteAt, p.dirtyAt = revision, n.now()
-			if final {
-				n.remember(j.ID, bookkeeping.FinalRecord{Stage: protocol.StageDone, Done: j.Tasks})
-				n.Log.Debug("job done", "job", j.ID)
-			}
+			p.wroteAt = revision
+			n.remember(j.ID, bookkeeping.FinalRecord{Stage: protocol.StageDone, Done: j.Tasks})
+			n.Log.Debug("job done", "job", j.ID)
 		})
-	}
-	// Completed attempts leave their machine once that is durable.
-	for _, x := range h.sorted() {
-		for _, ref := range refs(x.attempts) {
-			a := x.attempts[ref]
-			if !a.live() && (a.job.Over() || a.job.Done.Has(ref.Task)) {
-				h.remove(a)
-				if x.dirtyAt == 0 {
-					x.dirtyAt = now
-				}
-			}
+		return false
+	})
+	h.ended = slices.DeleteFunc(h.ended, func(a *attempt) bool {
+		if h.machines[a.on.m.Name] != a.on || a.on.attempts[a.ref()] != a {
+			return true
 		}
-	}
-}
-
-// dirtyChunk finds a part of a job's completed tasks that is not durable yet.
-func (h *holder) dirtyChunk(j *bookkeeping.Job, p *progress) int {
-	for task := range j.Tasks {
-		if p.done.Has(task) && !j.Done.Has(task) {
-			return task / bookkeeping.ChunkTasks
+		if !a.job.Over() && !a.job.Done.Has(a.task) {
+			return false
 		}
-	}
-	return -1
+		h.remove(a)
+		a.on.busy = true // it can be reaped
+		return true
+	})
 }
 
 // notes tells the leader about the machines held.
 func (h *holder) notes() []protocol.MachineNote {
 	n := h.n
 	now := n.now()
-	notes := make([]protocol.MachineNote, 0, len(h.machines))
-	for _, x := range h.sorted() {
+	notes := make([]protocol.MachineNote, 0, len(h.list))
+	for _, x := range h.list {
 		if !n.holds(x.shard) {
 			continue
 		}
-		notes = append(notes, protocol.MachineNote{
-			Name: x.m.Name, Seen: x.fenced, Silent: now - x.heard, Tasks: len(x.attempts), Faulty: x.errors >= 3 || x.slow(), Leaves: x.notice > 0,
-		})
+		note := protocol.MachineNote{
+			Name: x.m.Name, Seen: x.fenced, Silent: now - x.heard, Tasks: len(x.attempts), Faulty: x.errors >= 3 || x.slow(), Leaves: x.notice > 0, Deaf: x.deaf,
+		}
+		if x.m.Addr == "" {
+			note.Addr = x.addr
+		}
+		if x.m.Phase == bookkeeping.PhaseDrain && len(x.attempts) == 0 && len(x.m.Intents) == 0 && !h.desks[x.shard].mayName(x) {
+			note.Empty = x.m.Drain
+		}
+		notes = append(notes, note)
 	}
 	return notes
 }
--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -39,11 +39,14 @@
 }
 func (b *bench) Ask(string, protocol.PeerRequest, func(protocol.PeerAnswer, error)) {}
 
+// firstPage is the first page of the only home.
+var firstPage = bookkeeping.PageID{}
+
 const grantToken = 5<<44 | 1<<24
 
 // newBench makes a node that holds one machine under a fresh grant; the record
 // of an earlier holder says that run-1/0 may be on it.
-func newBench(t *testing.T, intents ...bookkeeping.IntentTask) *bench {
+func newBench(t *testing.T, intents ...string) *bench {
 	b := &bench{t: t, now: time.Minute}
 	b.n = New(Config{
 		Settings: &config.Settings{Node: "a", Cluster: config.Cluster{
@@ -58,12 +61,12 @@
 	b.n.ready = true
 	b.fresh()
 	b.apply(bookkeeping.KeyTypes, protocol.Catalogue{Types: []protocol.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, Zones: []string{"z"}}}})
-	b.apply(bookkeeping.KeyHomes, map[string]int{"red": 0})
+	b.apply(bookkeeping.KeyHomes, bookkeeping.HomesRecord{Homes: 1})
 	b.apply(bookkeeping.JobKey("run-1"), bookkeeping.JobRecord{Spec: protocol.Spec{
 		ID: "run-1", Team: "red", Kind: protocol.KindArray, Priority: "normal", Tasks: 2, CPUs: 4, MemoryGB: 1,
 	}})
-	b.apply(bookkeeping.MachineKey("m-1"), bookkeeping.MachineRecord{Addr: "w", Type: "small", Zone: "z", Phase: bookkeeping.PhaseActive})
-	b.apply(bookkeeping.IntentKey("m-1"), bookkeeping.IntentRecord{Tasks: intents})
+	b.apply(bookkeeping.BlockKey("b"), bookkeeping.BlockRecord{Type: "small", Zone: "z", Machines: []bookkeeping.BlockMachine{{Name: "m-1", Addr: "w"}}})
+	b.apply(bookkeeping.IntentKey(firstPage), bookkeeping.IntentPage{"run-1": intents})
 	b.apply(bookkeeping.GrantKey(0), bookkeeping.GrantRecord{Node: "a", Incarnation: b.n.incarnation, Token: grantToken})
 	b.n.changed(true)
 	return b
@@ -108,7 +111,7 @@
 	return n
 }
 
-var inherited = bookkeeping.IntentTask{Task: "run-1/0", Attempt: 9}
+var inherited = bookkeeping.IntentEntry(0, "m-1", 9)
 
 // Absence from a report proves nothing while a command of an earlier holder may
 // still take effect; it does once the worker has seen this holder's token.
@@ -153,7 +156,7 @@
 	if cmds := start(); len(cmds) != 0 {
 		t.Fatalf("orders before the intent is durable: %v", cmds)
 	}
-	b.apply(bookkeeping.IntentKey("m-1"), bookkeeping.IntentRecord{Tasks: []bookkeeping.IntentTask{{Task: "run-1/0", Attempt: try}}})
+	b.apply(bookkeeping.IntentKey(firstPage), bookkeeping.IntentPage{"run-1": {bookkeeping.IntentEntry(0, "m-1", try)}})
 	cmds := start()
 	if len(cmds) != 1 || cmds[0].Verb != protocol.VerbStart {
 		t.Fatalf("orders once it is: %v", cmds)
@@ -167,10 +170,10 @@
 				t.Fatal("reaped before its completion is durable")
 			}
 		}
-		b.n.hold.writeDone()
+		b.n.hold.pass()
 	}
-	b.apply(bookkeeping.DoneKey("run-1", 0), []byte{1})
-	b.n.hold.writeDone()
+	b.apply(bookkeeping.DoneKey(firstPage), bookkeeping.DonePage{bookkeeping.DoneName("run-1", 0): {1}})
+	b.n.hold.pass()
 	a := b.report(x.seq+1, x.token, ended).Body.(protocol.Orders)
 	if len(a.Commands) == 0 || a.Commands[0].Verb != protocol.VerbReap {
 		t.Fatalf("orders after it is durable: %v", a.Commands)
@@ -206,11 +209,11 @@
 // Whatever may be on a machine counts against the team's limit, seen or not.
 func TestUnprovenAttemptsCount(t *testing.T) {
 	b := newBench(t, inherited)
-	if got := b.n.hold.usage[0].cpus; got != 4 {
+	if got := b.n.hold.used(0)[0].cpus; got != 4 {
 		t.Errorf("an inherited attempt counts as %v CPUs", got)
 	}
 	b.report(1, grantToken)
-	if got := b.n.hold.usage[0].cpus; got != 0 {
+	if got := b.n.hold.used(0)[0].cpus; got != 0 {
 		t.Errorf("once settled it counts as %v CPUs", got)
 	}
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -76,6 +76,8 @@
 	tickEvery   = 250 * time.Millisecond
 	pingEvery   = 500 * time.Millisecond
 	followWait  = time.Second
+	followPause = 100 * time.Millisecond // between two reads of the changes
+	syncPause   = 200 * time.Millisecond // between two that questions ask for
 	retryPause  = 200 * time.Millisecond
 	leaderTTL   = 4 * time.Second
 	leaderTouch = time.Second
@@ -98,6 +100,11 @@
 	finals      map[string]bookkeeping.FinalRecord
 	budget      bucket
 
+	syncWaits  []func(error) // questions that wait for the book to be as new as they are
+	syncing    bool
+	syncAt     time.Duration
+	syncWanted bool
+
 	candidate   bool
 	candidateAt time.Duration
 	claims      map[uint64]bool // leases opened for an election
@@ -126,7 +133,7 @@
 	n.blockLease = c.Options.BlockLease(c.Settings.Cluster.Workers)
 	n.authority = c.Settings.Cluster.Workers.Authority()
 	n.finals = map[string]bookkeeping.FinalRecord{}
-	n.budget = newBucket(c.Settings.Cluster.State.WriteRPS / 2)
+	n.budget = newBucket(c.Settings.Cluster.State.WriteRPS / 4)
 	return n
 }
 
@@ -188,6 +195,11 @@
 	n.grantedAt = make([]time.Duration, n.shards)
 	n.strangers = map[string]protocol.Report{}
 	n.hold = newHolder(n)
+	waits := n.syncWaits
+	n.syncWaits, n.syncing, n.syncWanted = nil, false, false
+	for _, f := range waits {
+		f(protocol.ErrNotDone)
+	}
 	n.load("", 0, 0)
 }
 
@@ -261,17 +273,7 @@
 			n.later(pause, func() { n.follow(upTo, failures+1) })
 			return
 		}
-		for _, e := range c.Events {
-			if e.Put != "" {
-				n.apply(e.Put, e.Value, e.Version)
-			} else {
-				n.book.Remove(e.Remove, e.Version)
-			}
-		}
-		n.revision = max(n.revision, c.Revision)
-		// The service answered after the request was sent, so everything
-		// durable by then is in the book.
-		n.freshAt = sent
+		n.takeIn(c, sent)
 		if !n.ready && n.revision >= upTo {
 			n.ready = true
 			n.Log.Info("records read", "revision", n.revision, "incarnation", n.incarnation)
@@ -279,10 +281,69 @@
 		if len(c.Events) > 0 || n.ready {
 			n.changed(len(c.Events) > 0)
 		}
+		// Changes come one by one under load; gathering them for a moment keeps
+		// the reads of all controllers far below what the service allows.
+		if pause := sent + followPause - n.now(); pause > 0 && n.ready {
+			n.later(pause, func() { n.follow(upTo, 0) })
+			return
+		}
 		n.follow(upTo, 0)
 	})
 }
 
+// takeIn puts changes into the book that were asked for at a time.
+func (n *Node) takeIn(c protocol.Changes, sent time.Duration) {
+	for _, e := range c.Events {
+		if e.Put != "" {
+			n.apply(e.Put, e.Value, e.Version)
+		} else {
+			n.book.Remove(e.Remove, e.Version)
+		}
+	}
+	n.revision = max(n.revision, c.Revision)
+	// The service answered after the request was sent, so everything durable by
+	// then is in the book.
+	n.freshAt = max(n.freshAt, sent)
+}
+
+// sync calls done once the book holds everything that was durable when sync was
+// called. One read of the changes serves all who wait, so questions from users
+// cost the state service a few reads a second, however many they are.
+func (n *Node) sync(done func(error)) {
+	n.syncWaits = append(n.syncWaits, done)
+	if n.syncing || n.syncWanted {
+		return
+	}
+	n.syncWanted = true
+	n.later(max(0, n.syncAt-n.now()), n.readChanges)
+}
+
+func (n *Node) readChanges() {
+	era, sent := n.era, n.now()
+	waits := n.syncWaits
+	n.syncWaits, n.syncing, n.syncWanted, n.syncAt = nil, true, false, sent+syncPause
+	n.State.Follow(bookkeeping.Prefix, n.revision, 0, func(c protocol.Changes, err error) {
+		if era != n.era || n.stopped {
+			for _, f := range waits {
+				f(protocol.ErrNotDone)
+			}
+			return
+		}
+		n.syncing = false
+		if err == nil {
+			n.takeIn(c, sent)
+			n.changed(len(c.Events) > 0)
+		}
+		for _, f := range waits {
+			f(err)
+		}
+		if len(n.syncWaits) > 0 && !n.syncWanted {
+			n.syncWanted = true
+			n.later(max(0, n.syncAt-n.now()), n.readChanges)
+		}
+	})
+}
+
 func (n *Node) apply(key string, value []byte, version uint64) {
 	if !strings.HasPrefix(key, bookkeeping.Prefix) {
 		return
@@ -335,6 +396,7 @@
 	if !n.ready {
 		return
 	}
+	n.share()
 	n.electionTick()
 	if n.lead != nil {
 		n.lead.tick()
@@ -342,6 +404,29 @@
 	n.hold.tick()
 }
 
+// share works out this process's part of the writes that all controllers share,
+// by what it does: the home of the work that ends writes most, the leader and
+// the homes of services less, and what is left is for users' requests, which
+// never wait for a budget.
+func (n *Node) share() {
+	part := 0.03
+	if n.lead != nil {
+		part += 0.15
+	}
+	for s := range n.shards {
+		switch {
+		case s >= n.book.Homes || !n.holds(s):
+		case n.book.Homes == 1:
+			part += 0.5
+		case s == 0:
+			part += 0.45
+		default:
+			part += 0.15 / float64(n.book.Homes-1)
+		}
+	}
+	n.budget.rate = max(1, part*n.Settings.Cluster.State.WriteRPS)
+}
+
 // bucket is this process's part of the writes all controllers share.
 type bucket struct {
 	rate, level float64
@@ -355,10 +440,11 @@
 	b.at = now
 }
 
-// take takes n writes if they are there.
+// take takes n writes if they are there, or all that there can ever be; a larger
+// number is paid back before the next.
 func (b *bucket) take(now time.Duration, n int) bool {
 	b.fill(now)
-	if b.level < float64(n) {
+	if b.level < min(float64(n), b.rate) {
 		return false
 	}
 	b.level -= float64(n)
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -15,6 +17,7 @@
 	job    *bookkeeping.Job
 	prog   *progress
 	within bool    // fits into its team's guarantee with the team's earlier jobs
+	starve bool    // nothing of it has begun for too long
 	late   bool    // too late to be of the use its owner hoped for
 	claim  float64 // work left by the time it has waited; the least goes first
 }
@@ -28,6 +31,7 @@
 	slices.SortStableFunc(list, func(a, b waiting) int {
 		return cmp.Or(
 			cmp.Compare(a.job.Rank(), b.job.Rank()),
+			compareBool(b.starve, a.starve),
 			compareBool(b.within, a.within),
 			compareBool(a.late, b.late),
 			cmp.Compare(a.claim, b.claim),
@@ -48,13 +52,15 @@
 	return 1
 }
 
-// rate works out a job's claim, and whether it is late, from how many tasks are left of it.
-func (w *waiting) rate(left int, aims []config.Objective, nowMS int64) {
+// rate works out a job's claim, and whether it is late or starves, from how many
+// tasks are left of it and whether any has begun.
+func (w *waiting) rate(left int, begun bool, aims []config.Objective, nowMS int64) {
 	j := w.job
-	if j.Kind == protocol.KindService {
+	age := float64(nowMS-j.AtMS) / 1000
+	w.starve = !begun && age > bound
+	if j.Standing() {
 		return
 	}
-	age := float64(nowMS-j.AtMS) / 1000
 	w.claim = float64(left) * max(j.CPUs, 0.1) * runS(j) / (age + runS(j))
 	last := j.DeadlineS
 	for _, o := range aims {
@@ -66,39 +72,61 @@
 			last = max(last, j.DeadlineS*o.Times)
 		}
 	}
-	w.late = last > 0 && age+runS(j) > last
+	w.late = last > 0 && age+runS(j) > last && age < last+bound
 }
 
-// waitingJobs lists the jobs of this home with open tasks, in order.
+// bound is how long a job may be put behind others of its rank. Work that
+// nothing has begun of by then goes first, and what is late already is no longer
+// last: else large jobs would starve for as long as more is asked for than can
+// be done.
+const bound = 100.0 // seconds
+
+// unfinished lists the unfinished jobs of the homes held, in the order of arrival.
+func (h *holder) unfinished() []*bookkeeping.Job {
+	n := h.n
+	if h.jobsSeen != n.book.JobsSeen {
+		h.jobsSeen = n.book.JobsSeen
+		h.mine = h.mine[:0]
+		n.book.Jobs.All(func(_ int, j *bookkeeping.Job) {
+			if !j.Over() {
+				h.mine = append(h.mine, j)
+			}
+		})
+		slices.SortFunc(h.mine, func(a, b *bookkeeping.Job) int {
+			return cmp.Or(cmp.Compare(a.AtMS, b.AtMS), cmp.Compare(a.ID, b.ID))
+		})
+	}
+	h.mine = slices.DeleteFunc(h.mine, (*bookkeeping.Job).Over)
+	return h.mine
+}
+
+// waitingJobs lists the jobs of the homes held with open tasks, in order.
 func (h *holder) waitingJobs(now time.Duration) []waiting {
 	n := h.n
 	var list []waiting
-	var mine []*bookkeeping.Job
-	n.book.Jobs.All(func(_ int, j *bookkeeping.Job) {
-		if !j.Over() && n.entitled(n.book.Home(j)) {
-			mine = append(mine, j)
+	booked := map[int][]usage{}
+	nowMS := n.Clock.Wall().UnixMilli()
+	for _, j := range h.unfinished() {
+		if h.desks[j.Home] == nil || !n.entitled(j.Home) {
+			continue
+		}
+		if booked[j.Home] == nil {
+			booked[j.Home] = make([]usage, len(n.book.Teams))
 		}
-	})
-	slices.SortFunc(mine, func(a, b *bookkeeping.Job) int {
-		return cmp.Or(cmp.Compare(a.AtMS, b.AtMS), cmp.Compare(a.ID, b.ID))
-	})
-	booked := make([]usage, len(n.book.Teams))
-	for _, j := range mine {
 		t := &n.book.Teams[j.TeamIdx]
 		p := h.progress(j)
 		open := float64(j.Tasks - p.doneN)
-		b := &booked[j.TeamIdx]
-		within := t.Guaranteed && b.cpus+open*j.CPUs <= t.CPUs+1e-6 && (j.GPUs == 0 || b.gpus+open*j.GPUs <= t.GPUs+1e-6)
+		b := &booked[j.Home][j.TeamIdx]
+		within := t.Guaranteed && b.cpus+open*j.CPUs <= n.book.Share(t, j.Home, t.CPUs)+1e-6 &&
+			(j.GPUs == 0 || b.gpus+open*j.GPUs <= n.book.Share(t, j.Home, t.GPUs)+1e-6)
 		b.cpus += open * j.CPUs
 		b.gpus += open * j.GPUs
-		if now < p.backoff {
+		if now < p.backoff || h.nextOpen(j, p) < 0 {
 			continue
 		}
-		if h.nextOpen(j, p) >= 0 {
-			w := waiting{job: j, prog: p, within: within}
-			w.rate(j.Tasks-p.doneN, n.Settings.Cluster.Objectives, n.Clock.Wall().UnixMilli())
-			list = append(list, w)
-		}
+		w := waiting{job: j, prog: p, within: within}
+		w.rate(j.Tasks-p.doneN, p.attempts > 0 || p.doneN > 0, n.Settings.Cluster.Objectives, nowMS)
+		list = append(list, w)
 	}
 	order(list)
 	return list
@@ -123,32 +151,60 @@
 	if len(list) == 0 {
 		return
 	}
-	machines := h.sorted()
+	least := list[0].job // the least that any waiting task takes
+	need := room{least.CPUs, least.GPUs, least.MemoryGB}
+	for _, w := range list {
+		need = room{min(need.cpus, w.job.CPUs), min(need.gpus, w.job.GPUs), min(need.memory, w.job.MemoryGB)}
+	}
+	machines := h.roomy(need, now)
 	promised := map[*holding]*room{} // room that stops under way will leave
+	var failed []*bookkeeping.Job    // jobs for which there is no place; larger ones of their kind need not look
 	for _, w := range list {
 		if w.job.Kind == protocol.KindGang {
 			h.placeGang(machines, w, promised, now)
 			continue
 		}
-		promises, open := 0, max(1, w.job.Tasks-w.prog.doneN-w.job.Refs)
+		hopeless := slices.ContainsFunc(failed, func(j *bookkeeping.Job) bool { return harder(w.job, j) })
+		promises, open := 0, max(1, w.job.Tasks-w.prog.doneN-w.prog.attempts)
 		for {
 			task := h.nextOpen(w.job, w.prog)
-			if task < 0 {
-				break
-			}
-			if !h.underLimit(w.job) {
+			if task < 0 || !h.underLimit(w.job) {
 				break
 			}
-			if x := h.choose(machines, w.job, task, promised, now); x != nil {
-				h.plan(w.job, task, x, h.nextTry(x), now)
-				continue
+			if !hopeless {
+				if x := h.choose(machines, w.job, task, now); x != nil {
+					h.plan(w.job, task, x, h.nextTry(x), now)
+					continue
+				}
+				hopeless = true
+				if !w.job.OneZone && !w.job.Spread {
+					failed = append(failed, w.job)
+				}
 			}
 			// Each waiting task is promised room once.
-			if promises++; promises > open || !h.makeRoom(machines, w, promised, now) {
+			if promises++; promises > open || !h.mayMakeRoom(w) || !h.makeRoom(w, promised, now) {
 				break
 			}
+			machines = slices.DeleteFunc(machines, func(x *holding) bool { return promised[x] != nil })
+		}
+	}
+}
+
+// harder reports whether a place for a would also be one for b.
+func harder(a, b *bookkeeping.Job) bool {
+	return a.Home == b.Home && a.CPUs >= b.CPUs && a.GPUs >= b.GPUs && a.MemoryGB >= b.MemoryGB && (b.Spot || !a.Spot) &&
+		(b.ZoneIdx < 0 || a.ZoneIdx == b.ZoneIdx) && (len(b.TypeIdx) == 0 || slices.Equal(a.TypeIdx, b.TypeIdx))
+}
+
+// roomy lists the machines that take new tasks now and have some room.
+func (h *holder) roomy(need room, now time.Duration) []*holding {
+	var list []*holding
+	for _, x := range h.list {
+		if r := h.free(x); r.cpus+1e-6 >= need.cpus && r.gpus+1e-6 >= need.gpus && r.memory+1e-6 >= need.memory && h.usable(x, now) {
+			list = append(list, x)
 		}
 	}
+	return list
 }
 
 // nextTry returns an attempt number above every earlier one: the grant's token
@@ -163,8 +219,11 @@
 	a := &attempt{job: j, task: task, on: x, planned: now, try: try}
 	_, cached := x.images[j.ImageIdx]
 	h.add(a)
-	h.n.Log.Debug("place", "job", j.ID, "task", task, "machine", x.m.Name, "cached", cached, "image", j.Image,
-		"waited_ms", h.n.Clock.Wall().UnixMilli()-j.AtMS)
+	h.desks[x.shard].adds = append(h.desks[x.shard].adds, a)
+	if h.n.Log.Enabled(context.Background(), slog.LevelDebug) {
+		h.n.Log.Debug("place", "job", j.ID, "task", task, "machine", x.m.Name, "cached", cached, "image", j.Image,
+			"waited_ms", h.n.Clock.Wall().UnixMilli()-j.AtMS)
+	}
 	return a
 }
 
@@ -172,22 +231,18 @@
 // of an earlier round is left: a gang that has lost a task starts over.
 func (h *holder) placeGang(machines []*holding, w waiting, promised map[*holding]*room, now time.Duration) {
 	j := w.job
-	for _, x := range machines {
-		for _, a := range x.attempts {
-			if a.job == j && a.live() {
-				return
-			}
-		}
+	if slices.ContainsFunc(w.prog.zones, func(n int) bool { return n > 0 }) {
+		return
 	}
 	var planned []*attempt
 	var try uint64
 	for task := h.nextOpen(j, w.prog); task >= 0; task = h.nextOpen(j, w.prog) {
-		x := h.choose(machines, j, task, promised, now)
+		x := h.choose(machines, j, task, now)
 		if x == nil || !h.underLimit(j) {
 			for _, a := range planned {
 				h.remove(a)
 			}
-			for left := j.Tasks - w.prog.doneN; x == nil && left > 0 && h.makeRoom(machines, w, promised, now); left-- {
+			for left := j.Tasks - w.prog.doneN; x == nil && left > 0 && h.mayMakeRoom(w) && h.makeRoom(w, promised, now); left-- {
 				h.n.Log.Debug("room for a gang", "job", j.ID, "left", left)
 			}
 			return
@@ -199,20 +254,23 @@
 	}
 }
 
-// underLimit reports whether one more task of a job keeps its team's limit.
-// Everything that may be on a machine counts.
+// underLimit reports whether one more task of a job keeps its home's share of the
+// team's limit. Everything that may be on a machine counts.
 func (h *holder) underLimit(j *bookkeeping.Job) bool {
-	t, u := &h.n.book.Teams[j.TeamIdx], &h.usage[j.TeamIdx]
-	return !over(u.cpus+j.CPUs, t.CPUsMax) && !over(u.gpus+j.GPUs, t.GPUsMax)
+	b := h.n.book
+	t, u := &b.Teams[j.TeamIdx], h.used(j.Home)[j.TeamIdx]
+	return keeps(u.cpus+j.CPUs, t.CPUsMax, b.Share(t, j.Home, t.CPUsMax)) && keeps(u.gpus+j.GPUs, t.GPUsMax, b.Share(t, j.Home, t.GPUsMax))
 }
 
+// keeps reports whether an amount keeps a home's share of a limit; 0 is no limit.
+func keeps(amount, limit, share float64) bool { return limit <= 0 || amount <= share+1e-6 }
+
 // allowed reports whether a machine is one that a job's task may start on,
 // room aside. Only machines of the home's own shard are, even for a controller
 // that holds several: the shards may part again, and whoever holds a home must
 // hold everything that its jobs may be on, or it would not count it.
-func (h *holder) allowed(x *holding, j *bookkeeping.Job) bool {
-	n := h.n
-	if x.shard != n.book.Home(j) || !n.book.Suits(j, x.m) {
+func (h *holder) allowed(x *holding, j *bookkeeping.Job, p *progress) bool {
+	if x.shard != j.Home || !h.n.book.Suits(j, x.m) {
 		return false
 	}
 	if !j.OneZone && !j.Spread {
@@ -220,15 +278,11 @@
 	}
 	// Tasks that may be on a machine anywhere count, unproven ones too.
 	inZone, elsewhere := 0, 0
-	for _, y := range h.machines {
-		for _, a := range y.attempts {
-			if a.job == j && a.live() {
-				if y.m.ZoneIdx == x.m.ZoneIdx {
-					inZone++
-				} else {
-					elsewhere++
-				}
-			}
+	for zone, n := range p.zones {
+		if zone == x.m.ZoneIdx {
+			inZone = n
+		} else {
+			elsewhere += n
 		}
 	}
 	if j.OneZone && elsewhere > 0 {
@@ -240,7 +294,7 @@
 // usable reports whether a machine takes new tasks now.
 func (h *holder) usable(x *holding, now time.Duration) bool {
 	report := h.n.Settings.Cluster.Workers.Report()
-	return h.n.entitled(x.shard) && x.fenced && x.m.Phase == bookkeeping.PhaseActive && x.notice == 0 &&
+	return h.n.entitled(x.shard) && x.fenced && !x.deaf && x.unheard == 0 && x.m.Phase == bookkeeping.PhaseActive && x.notice == 0 &&
 		now >= x.avoid && now-x.heard < 2*report+time.Second
 }
 
@@ -270,23 +324,15 @@
 	return room{t.CPUs - x.cpus, t.GPUs - x.gpus, t.MemoryGB - x.memory}
 }
 
-// choose picks the machine for a task: spot before ordinary where the job
-// allows it, one that has the image, then the fullest, so that others empty.
-func (h *holder) choose(machines []*holding, j *bookkeeping.Job, task int, promised map[*holding]*room, now time.Duration) *holding {
+// choose picks the machine for a task among usable ones: spot before ordinary
+// where the job allows it, one that has the image, then the fullest, so that
+// others empty.
+func (h *holder) choose(machines []*holding, j *bookkeeping.Job, task int, now time.Duration) *holding {
 	var best *holding
 	var bestScore float64
-	most := int(h.n.Settings.Cluster.State.ValueKB * 1024 / 64)
-	services := 0.0
-	if j.Kind == protocol.KindService {
-		for _, x := range machines {
-			services += h.serviceCPUs(x)
-		}
-	}
+	p := h.progress(j)
 	for _, x := range machines {
-		if promised[x] != nil || !h.usable(x, now) || len(x.attempts) >= most || !h.allowed(x, j) || !h.free(x).fits(j) {
-			continue
-		}
-		if has(x, j, task) {
+		if !h.free(x).fits(j) || !h.allowed(x, j, p) || has(x, j, task) || !h.usable(x, now) {
 			continue
 		}
 		score := 0.0
@@ -300,13 +346,12 @@
 			score += 100
 		}
 		t := &h.n.book.Types[x.m.TypeIdx]
-		if j.Kind == protocol.KindService {
+		if j.Standing() {
 			// Beside other services: one alone would keep a machine that was
 			// rented for a burst of other work from going back.
 			// But not all on one, which may die with them.
-			here := h.serviceCPUs(x)
-			score += 50 * here / t.CPUs
-			if here+j.CPUs > services/4 && here > 0 {
+			score += 50 * x.services / t.CPUs
+			if x.services+j.CPUs > h.services/4 && x.services > 0 {
 				score -= 120
 			}
 		} else {
@@ -319,20 +364,12 @@
 	return best
 }
 
-// serviceCPUs is what services take of a machine.
-func (h *holder) serviceCPUs(x *holding) float64 {
-	sum := 0.0
-	for _, ref := range refs(x.attempts) {
-		if a := x.attempts[ref]; a.live() && a.job.Kind == protocol.KindService {
-			sum += a.job.CPUs
-		}
-	}
-	return sum
-}
-
 // has reports whether a machine still lists an earlier attempt at a task that is
 // not reaped; a start of another attempt would be refused.
 func has(x *holding, j *bookkeeping.Job, task int) bool {
+	if len(x.extras) == 0 {
+		return false
+	}
 	name := protocol.TaskName(j.ID, task)
 	return slices.ContainsFunc(x.extras, func(t protocol.TaskStatus) bool { return t.Task == name })
 }
@@ -345,22 +382,43 @@
 	// Guaranteed share comes before what another team has borrowed. A service is
 	// never stopped for it: not for batch work, and one for another gains nobody
 	// anything, least of all when machines are lost and they take turns.
-	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Kind == protocol.KindService {
+	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Standing() {
+		return false
+	}
+	b := h.n.book
+	t := &b.Teams[a.job.TeamIdx]
+	return h.used(a.job.Home)[a.job.TeamIdx].cpus-a.job.CPUs >= b.Share(t, a.job.Home, t.CPUs)
+}
+
+// mayMakeRoom reports whether there can be anything that may be stopped for a
+// job, before every machine is looked at.
+func (h *holder) mayMakeRoom(w waiting) bool {
+	for rank := w.job.Rank() + 1; rank < maxRank; rank++ {
+		if h.ranks[rank] > 0 {
+			return true
+		}
+	}
+	if !w.within {
 		return false
 	}
-	t := &h.n.book.Teams[a.job.TeamIdx]
-	return h.usage[a.job.TeamIdx].cpus-a.job.CPUs >= t.CPUs
+	b := h.n.book
+	for i, u := range h.used(w.job.Home) {
+		if t := &b.Teams[i]; i != w.job.TeamIdx && u.cpus > b.Share(t, w.job.Home, t.CPUs) {
+			return true
+		}
+	}
+	return false
 }
 
 // makeRoom stops the least work that lets one task of a job start; false when
 // nothing can be done.
-func (h *holder) makeRoom(machines []*holding, w waiting, promised map[*holding]*room, now time.Duration) bool {
+func (h *holder) makeRoom(w waiting, promised map[*holding]*room, now time.Duration) bool {
 	var best *holding
 	var victims []*attempt
 	var left room // on the best, with its victims gone
 	bestCost := 0.0
-	for _, x := range machines {
-		if !h.usable(x, now) || !h.allowed(x, w.job) {
+	for _, x := range h.list {
+		if !h.usable(x, now) || !h.allowed(x, w.job, w.prog) {
 			continue
 		}
 		r := h.free(x)
@@ -403,7 +461,7 @@
 		return false
 	}
 	for _, a := range victims {
-		a.stop, a.halted = true, 0
+		a.stop, a.halted, best.busy = true, 0, true
 		if a.job.CheckpointS > 0 {
 			a.grace = a.job.SaveS
 		}
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -23,6 +23,23 @@
 	job   *bookkeeping.Job
 	shard int
 	count int
+	zones []int // how many more may be in a zone, by index; nil: no bound
+}
+
+// zone is how many of the tasks may go to a zone.
+func (d *demand) zone(z int) int {
+	if d.zones == nil || z >= len(d.zones) {
+		return d.count
+	}
+	return min(d.count, d.zones[z])
+}
+
+// take takes off one task that goes to a zone.
+func (d *demand) take(z int) {
+	d.count--
+	if z < len(d.zones) {
+		d.zones[z]--
+	}
 }
 
 // supply is a machine as the sizer counts it: what it will offer to new work.
@@ -57,7 +74,7 @@
 // book adds a task to what a machine is busy with, of which the given part is
 // still to run.
 func (x *supply) book(t *protocol.MachineType, j *bookkeeping.Job, part float64) {
-	if j.Kind == protocol.KindService {
+	if j.Standing() {
 		x.fixed += share(t, j)
 	} else {
 		x.busy += share(t, j) * runS(j) * part
@@ -82,7 +99,10 @@
 	fits    func(j *bookkeeping.Job, typ int) bool
 	demands []demand // in the order in which they are served
 	supply  []*supply
-	max     int // machines that may still be rented
+	count   map[pool]int  // machines there are, by pool
+	sole    map[int]bool  // types that are the only ones for some work
+	alike   map[shape]int // services of a shape that wait, all together
+	max     int           // machines that may still be rented
 	calls   int
 	// patience is how many boot times of a new machine work waits for those
 	// that are there.
@@ -95,7 +115,11 @@
 func (s *sizing) unmet() []demand {
 	var left []demand
 	for _, d := range s.demands {
+		d.zones = slices.Clone(d.zones)
 		for _, x := range s.supply {
+			if d.count == 0 {
+				break
+			}
 			s.fill(x, &d)
 		}
 		if d.count > 0 {
@@ -115,7 +139,7 @@
 	if d.job.Kind != protocol.KindArray {
 		return
 	}
-	p, _, ok := s.cheapest(*d)
+	p, _, ok := s.cheapest(*d, nil)
 	if !ok {
 		return
 	}
@@ -142,7 +166,7 @@
 
 func (s *sizing) takes(x *supply, j *bookkeeping.Job) bool {
 	r := x.free
-	if j.Kind == protocol.KindService {
+	if j.Standing() {
 		r = x.firm
 	}
 	return r.fits(j) && s.suits(x, j)
@@ -152,6 +176,28 @@
 	return (!x.spot || j.Spot) && (j.ZoneIdx < 0 || j.ZoneIdx == x.zone) && s.fits(j, x.typ)
 }
 
+// sole finds the types that are the only ones which some unfinished work fits.
+func (l *leadership) sole() map[int]bool {
+	b := l.n.book
+	out := map[int]bool{}
+	b.Jobs.All(func(_ int, j *bookkeeping.Job) {
+		if j.Over() {
+			return
+		}
+		only, n := 0, 0
+		for typ := range b.Types {
+			if b.Fits(j, typ) {
+				only = typ
+				n++
+			}
+		}
+		if n == 1 {
+			out[only] = true
+		}
+	})
+	return out
+}
+
 // plan rents the cheapest machines for the unmet demand: for every job the pool
 // in which a task costs least once the machine is filled as far as the job fills
 // it. What a machine has left over is used by the jobs that follow, and machines
@@ -159,12 +205,19 @@
 func (s *sizing) plan(left []demand) []rent {
 	var rents []rent
 	var planned []*supply
+	s.alike = map[shape]int{}
 	for _, d := range left {
+		if d.job.Standing() {
+			s.alike[shapeOf(d)] += d.count
+		}
+	}
+	for _, d := range left {
+		d.zones = slices.Clone(d.zones)
 		for _, x := range planned {
 			s.fill(x, &d)
 		}
 		for d.count > 0 && s.max > 0 {
-			p, per, ok := s.cheapest(d)
+			p, per, ok := s.cheapest(d, rents)
 			if !ok {
 				break
 			}
@@ -177,7 +230,7 @@
 				rents = append(rents, rent{pool: p, shard: d.shard})
 			}
 			// Whole machines first; the rest may be cheaper elsewhere.
-			count := min(max(d.count/per, 1), s.max, 50-rents[i].count)
+			count := min(max(d.zone(p.zone)/per, 1), s.max, 50-rents[i].count)
 			if count <= 0 {
 				break
 			}
@@ -201,13 +254,13 @@
 
 // fill gives a machine as much of a demand as it takes.
 func (s *sizing) fill(x *supply, d *demand) {
-	for d.count > 0 && x.taking && x.shard == d.shard && s.takes(x, d.job) {
+	for x.taking && x.shard == d.shard && d.zone(x.zone) > 0 && s.takes(x, d.job) {
 		x.free.take(d.job)
-		if d.job.Kind == protocol.KindService {
+		if d.job.Standing() {
 			x.firm.take(d.job)
 		}
 		x.book(&s.types[x.typ], d.job, 1)
-		d.count--
+		d.take(x.zone)
 	}
 }
 
@@ -220,9 +273,12 @@
 }
 
 // cheapest is the pool in which a task of a demand costs least, and how many a
-// machine there holds.
-func (s *sizing) cheapest(d demand) (best pool, per int, ok bool) {
+// machine there holds. Of equal ones it is the one that is asked for already,
+// then the one with the larger machines, which need fewer reports and share
+// images, then the zone with the fewest machines, so that no zone holds too much.
+func (s *sizing) cheapest(d demand, rents []rent) (best pool, per int, ok bool) {
 	bestCost := math.Inf(1)
+	bestTie := 0
 	for typ := range s.types {
 		t := &s.types[typ]
 		if !s.fits(d.job, typ) {
@@ -234,7 +290,7 @@
 		}
 		for _, zone := range t.Zones {
 			z := s.zones(zone)
-			if d.job.ZoneIdx >= 0 && d.job.ZoneIdx != z {
+			if d.job.ZoneIdx >= 0 && d.job.ZoneIdx != z || d.zone(z) < 1 {
 				continue
 			}
 			for _, spot := range []bool{true, false} {
@@ -243,9 +299,19 @@
 					continue
 				}
 				// A machine far larger than what waits is paid for idle.
-				cost := price(t, spot) / float64(min(n, d.count))
-				if cost < bestCost-1e-9 {
-					best, per, bestCost, ok = p, n, cost, true
+				cost := price(t, spot) / float64(min(n, max(d.zone(z), s.alike[shapeOf(d)])))
+				if d.job.Standing() {
+					cost *= 1 + 0.1/float64(n) // one with room for many is likelier to have the next one's image
+				}
+				if s.sole[typ] {
+					cost *= 1.3 // other work has no other machines
+				}
+				tie := s.count[p] - 1000*n
+				if slices.ContainsFunc(rents, func(r rent) bool { return r.pool == p && r.shard == d.shard && r.count < 50 }) {
+					tie -= 1_000_000
+				}
+				if cost < bestCost*(1-1e-9) || cost <= bestCost*(1+1e-9) && tie < bestTie {
+					best, per, bestCost, bestTie, ok = p, n, cost, tie, true
 				}
 			}
 		}
@@ -268,19 +334,76 @@
 }
 
 // spareFor returns for how many more replicas of a service its home has room.
-func (s *sizing) spareFor(d demand, without *bookkeeping.Machine) int {
+func (s *sizing) spareFor(d demand) int {
 	n := 0
 	for _, x := range s.supply {
-		if !x.taking || x.shard != d.shard || !s.suits(x, d.job) || without != nil && x.m == without {
-			continue
-		}
-		for r := x.firm; r.fits(d.job); n++ {
-			r.take(d.job)
+		n += s.roomOn(x, d)
+	}
+	return n
+}
+
+// lacking takes off a demand what there is room for.
+func (s *sizing) lacking(d demand) demand {
+	d.zones = slices.Clone(d.zones)
+	for _, x := range s.supply {
+		for range min(s.roomOn(x, d), d.zone(x.zone)) {
+			d.take(x.zone)
 		}
 	}
+	return d
+}
+
+// roomOn returns for how many more replicas of a service a machine has room.
+func (s *sizing) roomOn(x *supply, d demand) int {
+	if !x.taking || x.shard != d.shard || !s.suits(x, d.job) {
+		return 0
+	}
+	n := 0
+	for r := x.firm; r.fits(d.job); n++ {
+		r.take(d.job)
+	}
 	return n
 }
 
+// spareRoom is the room that homes have beyond what is kept for services.
+type spareRoom struct {
+	s      *sizing
+	spares []demand
+	over   []int // by spare
+}
+
+func newSpareRoom(s *sizing, spares []demand) *spareRoom {
+	r := &spareRoom{s: s, spares: spares}
+	for _, d := range spares {
+		r.over = append(r.over, s.spareFor(d)-d.count)
+	}
+	return r
+}
+
+// take takes a machine's room off if the spare room can do without it.
+func (r *spareRoom) take(x *supply) bool {
+	for i, d := range r.spares {
+		if n := r.s.roomOn(x, d); n > 0 && n > r.over[i] {
+			return false
+		}
+	}
+	for i, d := range r.spares {
+		r.over[i] -= r.s.roomOn(x, d)
+	}
+	return true
+}
+
+// mayMove reports whether everything on a machine could be moved, room aside.
+func (l *leadership) mayMove(m *bookkeeping.Machine) bool {
+	for ref := range m.Intents {
+		j := l.n.book.Jobs.Get(ref.Job)
+		if !j.Over() && (!j.Standing() || j.OneZone || j.Spread && j.Tasks > 1) {
+			return false
+		}
+	}
+	return true
+}
+
 // movable reports whether everything on a machine that does not end by itself
 // finds room on others, with the spare room that is kept still there.
 func (s *sizing) movable(m *bookkeeping.Machine, jobs func(bookkeeping.TaskRef) *bookkeeping.Job, spares []demand) bool {
@@ -297,10 +420,7 @@
 		if j.Over() {
 			continue
 		}
-		if j.Kind != protocol.KindService || j.OneZone || j.Spread && j.Tasks > 1 {
-			return false
-		}
-		d := demand{j, m.Shard, 1}
+		d := demand{job: j, shard: m.Shard, count: 1}
 		for _, x := range rest {
 			after.fill(x, &d)
 		}
@@ -308,37 +428,95 @@
 			return false
 		}
 	}
-	return !slices.ContainsFunc(spares, func(d demand) bool { return d.shard == m.Shard && after.spareFor(d, nil) < d.count })
+	return !slices.ContainsFunc(spares, func(d demand) bool { return d.shard == m.Shard && after.spareFor(d) < d.count })
 }
 
 // spares lists the services whose next replicas must find room at once: one
-// entry for every shape of running service, with the number of replicas.
+// entry for every shape of running service, with the number of replicas: some at
+// least, and as many as are likely to come while a machine boots.
 // Those on machines that have fallen silent or that the cloud takes come on top,
 // so that room is on its way before they are known to be lost.
 func (l *leadership) spares(list []*supply) []demand {
 	n := l.n
 	var out []demand
+	nowMS := n.Clock.Wall().UnixMilli()
+	arrived := map[*bookkeeping.Job]*[arrivalBins]int{}
+	var bins []*[arrivalBins]int
 	n.book.Jobs.All(func(_ int, j *bookkeeping.Job) {
-		if !j.Over() && j.Kind == protocol.KindService && n.book.Home(j) >= 0 {
-			out = append(out, demand{j, n.book.Home(j), 1})
+		if !j.Over() && j.Standing() && j.Home >= 0 {
+			out = append(out, demand{job: j, shard: j.Home, count: 1})
 		}
 	})
 	slices.SortFunc(out, func(a, b demand) int { return cmp.Compare(a.job.ID, b.job.ID) })
-	out = gather(out)
-	for i := range out {
-		out[i].count = min(out[i].count, n.Options.ServiceSpare)
+	shapes := gather(out)
+	for i := range shapes {
+		b := &[arrivalBins]int{}
+		bins = append(bins, b)
+		arrived[shapes[i].job] = b
+	}
+	at := map[shape]*[arrivalBins]int{}
+	for i := range shapes {
+		at[shapeOf(shapes[i])] = bins[i]
+	}
+	for _, d := range out {
+		if age := (nowMS - d.job.AtMS) / arrivalBin.Milliseconds(); age >= 0 && age < arrivalBins {
+			at[shapeOf(d)][age] += d.job.Tasks
+		}
+	}
+	for i := range shapes {
+		d := &shapes[i]
+		d.count = max(min(d.count, n.Options.ServiceSpare), l.coming(d.job, bins[i]))
 	}
 	for _, x := range list {
 		if !x.doubtful {
 			continue
 		}
 		for _, ref := range refs(x.m.Intents) {
-			if j := n.book.Jobs.Get(ref.Job); !j.Over() && j.Kind == protocol.KindService && n.book.Home(j) >= 0 {
-				out = append(out, demand{j, n.book.Home(j), 1})
+			if j := n.book.Jobs.Get(ref.Job); !j.Over() && j.Standing() && j.Home >= 0 {
+				shapes = append(shapes, demand{job: j, shard: j.Home, count: 1})
 			}
 		}
 	}
-	return gather(out)
+	out = gather(shapes)
+	for i := range out {
+		// Services that are spread need their room in more than one zone.
+		if d := &out[i]; d.job.Spread && d.count > 1 {
+			d.zones = make([]int, n.book.ZoneNames.Len())
+			for z := range d.zones {
+				d.zones[z] = (d.count + 1) / 2
+			}
+		}
+	}
+	return out
+}
+
+// Arrivals are counted in bins; the fullest quarter of them is left out, so that
+// the wave in which a cluster is filled for the first time is not taken for a
+// rate.
+const (
+	arrivalBin  = 10 * time.Second
+	arrivalBins = 12
+)
+
+// coming is how many replicas of a service's shape are likely to come while a
+// machine boots that could take them.
+func (l *leadership) coming(j *bookkeeping.Job, bins *[arrivalBins]int) int {
+	b := l.n.book
+	boot := 0.0
+	for typ := range b.Types {
+		if b.Fits(j, typ) && (boot == 0 || b.Types[typ].BootS < boot) {
+			boot = b.Types[typ].BootS
+		}
+	}
+	sorted := slices.Sorted(slices.Values(bins[:]))
+	sum, largest := 0, 0
+	for _, c := range sorted[:arrivalBins*3/4] {
+		sum += c
+		largest = max(largest, c)
+	}
+	rate := float64(sum) / (arrivalBin.Seconds() * arrivalBins * 3 / 4)
+	expect := rate * boot * 1.5
+	return int(math.Ceil(expect + 1.5*math.Sqrt(expect*float64(max(j.Tasks, 1)))))
 }
 
 // slack is how many seconds are left until a task of a job must start if the job
@@ -350,19 +528,25 @@
 	return j.DeadlineS - runS(j) - float64(l.n.Clock.Wall().UnixMilli()-j.AtMS)/1000
 }
 
+// shape is what makes demands alike.
+type shape struct {
+	shard, zone        int
+	spot, spread       bool
+	cpus, gpus, memory float64
+	types              string
+}
+
+func shapeOf(d demand) shape {
+	j := d.job
+	return shape{d.shard, j.ZoneIdx, j.Spot, j.Spread && j.Tasks > 1, j.CPUs, j.GPUs, j.MemoryGB, strings.Join(j.Types, " ")}
+}
+
 // gather joins equal jobs of a home, in the place of the first.
 func gather(list []demand) []demand {
-	type shape struct {
-		shard, zone        int
-		spot               bool
-		cpus, gpus, memory float64
-		types              string
-	}
 	at := map[shape]int{}
 	var out []demand
 	for _, d := range list {
-		j := d.job
-		k := shape{d.shard, j.ZoneIdx, j.Spot, j.CPUs, j.GPUs, j.MemoryGB, strings.Join(j.Types, " ")}
+		k := shapeOf(d)
 		if i, ok := at[k]; ok {
 			out[i].count += d.count
 			continue
@@ -378,12 +562,10 @@
 	return 1 - x.free.cpus/max(types[x.typ].CPUs, 1e-9)
 }
 
-// giveBack picks the machine to drain among idle ones: the least booked.
-func giveBack(idle []*supply, types []protocol.MachineType) *supply {
-	if len(idle) == 0 {
-		return nil
-	}
-	return slices.MinFunc(idle, func(a, b *supply) int {
+// giveBack puts idle machines into the order in which they drain: the least
+// booked first.
+func giveBack(idle []*supply, types []protocol.MachineType) {
+	slices.SortFunc(idle, func(a, b *supply) int {
 		return cmp.Or(cmp.Compare(a.booked(types), b.booked(types)), cmp.Compare(a.m.Name, b.m.Name))
 	})
 }
@@ -422,32 +604,53 @@
 	n := l.n
 	var list []waiting
 	used := make([]usage, len(n.book.Teams))
-	n.book.Jobs.All(func(_ int, j *bookkeeping.Job) {
+	nowMS := n.Clock.Wall().UnixMilli()
+	spread := map[int][]int{} // tasks of waiting jobs that may be in a zone, by job
+	n.book.Jobs.All(func(i int, j *bookkeeping.Job) {
 		if j.TeamIdx < 0 {
 			return
 		}
 		used[j.TeamIdx].cpus += j.CPUs * float64(len(j.Intended))
 		used[j.TeamIdx].gpus += j.GPUs * float64(len(j.Intended))
-		if !j.Over() && n.book.Home(j) >= 0 && j.Open() > 0 {
+		if !j.Over() && j.Home >= 0 && j.Open() > 0 {
 			w := waiting{job: j}
-			w.rate(j.Tasks-j.DoneN, n.Settings.Cluster.Objectives, n.Clock.Wall().UnixMilli())
+			w.rate(j.Tasks-j.DoneN, j.Running() > 0 || j.DoneN > 0, n.Settings.Cluster.Objectives, nowMS)
 			list = append(list, w)
+			if j.Spread && j.Tasks > 1 {
+				spread[i] = make([]int, n.book.ZoneNames.Len())
+			}
 		}
 	})
+	if len(spread) > 0 {
+		n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
+			for ref := range m.Intents {
+				if in := spread[ref.Job]; in != nil {
+					in[m.ZoneIdx]++
+				}
+			}
+		})
+	}
 	order(list)
 	var out []demand
 	for _, w := range list {
 		j := w.job
 		t, u := &n.book.Teams[j.TeamIdx], &used[j.TeamIdx]
 		count := j.Open()
-		for count > 0 && (over(u.cpus+float64(count)*j.CPUs, t.CPUsMax) || over(u.gpus+float64(count)*j.GPUs, t.GPUsMax)) {
-			count--
+		for _, q := range [][3]float64{{u.cpus, j.CPUs, t.CPUsMax}, {u.gpus, j.GPUs, t.GPUsMax}} {
+			if q[2] > 0 && q[1] > 0 {
+				count = min(count, int((q[2]-q[0])/q[1]+1e-6))
+			}
 		}
-		if count > 0 {
-			u.cpus += float64(count) * j.CPUs
-			u.gpus += float64(count) * j.GPUs
-			out = append(out, demand{j, n.book.Home(j), count})
+		if count <= 0 {
+			continue
 		}
+		u.cpus += float64(count) * j.CPUs
+		u.gpus += float64(count) * j.GPUs
+		zones := spread[j.Index]
+		for z := range zones {
+			zones[z] = max(0, (j.Tasks+1)/2-zones[z])
+		}
+		out = append(out, demand{job: j, shard: j.Home, count: count, zones: zones})
 	}
 	return out
 }
@@ -457,7 +660,7 @@
 	n := l.n
 	var out []*supply
 	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
-		if m.Version == 0 || m.Phase == bookkeeping.PhaseGone || m.Phase == bookkeeping.PhaseReturning {
+		if !m.There() || m.Phase == bookkeeping.PhaseReturning {
 			return
 		}
 		t := &n.book.Types[m.TypeIdx]
@@ -465,13 +668,16 @@
 			m: m, typ: m.TypeIdx, zone: m.ZoneIdx, spot: m.Spot, shard: m.Shard,
 			free: room{t.CPUs, t.GPUs, t.MemoryGB}, firm: room{t.CPUs, t.GPUs, t.MemoryGB}, taking: m.Phase == bookkeeping.PhaseActive,
 		}
-		for _, ref := range refs(m.Intents) {
+		for ref := range m.Intents {
 			j := n.book.Jobs.Get(ref.Job)
+			if j.Over() || j.Done.Has(ref.Task) {
+				continue // about to leave
+			}
 			x.free.take(j)
-			if j.Kind == protocol.KindService {
+			if j.Standing() {
 				x.firm.take(j)
 			}
-			x.service = x.service || j.Kind == protocol.KindService
+			x.service = x.service || j.Standing()
 			x.book(t, j, 0.5)
 		}
 		note, known := l.note(m)
@@ -479,7 +685,7 @@
 		if !x.ready {
 			x.bootLeft = max(0, t.BootS-l.age(m).Seconds())
 		}
-		if known && (note.Faulty || note.Leaves || (note.Seen || note.Tasks > 0) && note.Silent > l.n.Settings.Cluster.Workers.Report()*3) {
+		if known && (note.Faulty || note.Leaves || note.Deaf || (note.Seen || note.Tasks > 0) && note.Silent > l.n.Settings.Cluster.Workers.Report()*3) {
 			x.taking = false
 			x.doubtful = true
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -142,21 +142,23 @@
 // over reports whether an amount exceeds a limit; 0 is no limit.
 func over(amount, limit float64) bool { return limit > 0 && amount > limit+1e-6 }
 
-// lookup finds out what has become of a job by a consistent read; nil without
-// an error means that it was never accepted. An unfinished job's record is read
-// before the final one, because a job moves from the first to the second.
+// lookup finds out what has become of a job, as of now or later; nil without an
+// error means that it was never accepted. The book is brought up to date first.
+// A job moves from the book to its final record in one transaction, so one that
+// the book does not have is either over, and its final record can be read, or
+// was not accepted when the question came.
 func (n *Node) lookup(id string, done func(*protocol.View, error)) {
 	if f, ok := n.finals[id]; ok {
 		done(&protocol.View{ID: id, Stage: f.Stage, Done: f.Done}, nil)
 		return
 	}
-	n.State.Get(bookkeeping.JobKey(id), func(it protocol.Item, found bool, err error) {
+	n.sync(func(err error) {
 		if err != nil {
 			done(nil, err)
 			return
 		}
-		if found {
-			done(n.view(id), nil)
+		if _, j := n.book.Jobs.Find(id); j != nil && !j.Over() {
+			done(n.view(j), nil)
 			return
 		}
 		n.State.Get(bookkeeping.FinalKey(id), func(it protocol.Item, found bool, err error) {
@@ -176,18 +178,10 @@
 }
 
 // view describes a job known to be unfinished; the counts are for display.
-func (n *Node) view(id string) *protocol.View {
-	v := &protocol.View{ID: id, Stage: protocol.StageQueued}
-	if _, j := n.book.Jobs.Find(id); j != nil && !j.Over() {
-		v.Done = j.DoneN
-		for task := range j.Intended {
-			if !j.Done.Has(task) {
-				v.Running++
-			}
-		}
-		if v.Running > 0 {
-			v.Stage = protocol.StageRunning
-		}
+func (n *Node) view(j *bookkeeping.Job) *protocol.View {
+	v := &protocol.View{ID: j.ID, Stage: protocol.StageQueued, Done: j.DoneN, Running: j.Running()}
+	if v.Running > 0 {
+		v.Stage = protocol.StageRunning
 	}
 	return v
 }
@@ -198,6 +192,10 @@
 		reply(problem(http.StatusNotFound, "no such job"))
 		return
 	}
+	if !n.ready {
+		reply(comeBack("starting"))
+		return
+	}
 	n.lookup(id, func(v *protocol.View, err error) {
 		switch {
 		case err != nil:
@@ -218,6 +216,10 @@
 		reply(problem(http.StatusNotFound, "no such job"))
 		return
 	}
+	if !n.ready {
+		reply(comeBack("starting"))
+		return
+	}
 	n.withdraw(id, 3, reply)
 }
 
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -13,6 +13,8 @@
 	Leaving     bool          // it ends now and gives up what it holds
 	Machines    []MachineNote // machines it holds
 	Strangers   []Report      // machines that reported to it and that no record names
+	Shares      uint64        // version of the teams' shares that it keeps to
+	Kept        bool          // nothing it holds is above its share
 }
 
 // MachineNote is a holder's view of one machine.
@@ -22,7 +24,10 @@
 	Silent time.Duration // since the last report, or since the grant
 	Tasks  int           // attempts that may be on it
 	Faulty bool
-	Leaves bool // the cloud will take it
+	Leaves bool   // the cloud will take it
+	Deaf   bool   // its reports arrive, but nothing reaches it
+	Addr   string // where the record does not have it yet
+	Empty  uint64 // stamp of the drain under which nothing is or can come to be on it; 0: not so
 }
 
 // Pong is the leader's answer: the sender's grants hold for another block
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -73,7 +73,7 @@
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			w := world
 			if seed%2 == 0 {
-				w.Data = append(slices.Clone(w.Data), "home_teams n=1\n"...)
+				w.Data = append(slices.Clone(w.Data), "homes n=2\n"...)
 			}
 			script, expect := drawDay(rand.New(rand.NewPCG(seed, 1)))
 			a := &txtar.Archive{Files: []txtar.File{w, {Name: "script", Data: script}, {Name: "expect", Data: expect}}}
@@ -87,6 +87,9 @@
 			}
 			if t.Failed() {
 				t.Logf("the day:\n%s", script)
+				if testing.Verbose() {
+					t.Log(log.String())
+				}
 			}
 		})
 	}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -177,8 +177,8 @@
 			types = append(types, t)
 		case "room":
 			rooms = append(rooms, room{poolName{w.arg(0), w.arg(1), w.text("kind", "ordinary") == "spot"}, int(w.num("count", 1))})
-		case "home_teams":
-			options.HomeTeams = int(w.num("n", 8))
+		case "homes":
+			options.Homes = int(w.num("n", 0))
 		default:
 			w.fail("unknown word %s", w.verb)
 		}
