--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -66,19 +66,20 @@
 	sent  uint64 // highest token under which a start was sent
 	// fenced: a report has shown the base token, so no command of an earlier
 	// holder can take effect any more.
-	fenced   bool
-	session  uint64
-	seq      uint64
-	since    time.Duration // when this holding began
-	heard    time.Duration // last report
-	answered time.Duration // last time a report was answered 200
-	notice   time.Duration // when the cloud takes the machine; 0: not announced
-	extras   []protocol.TaskStatus
-	attempts map[bookkeeping.TaskRef]*attempt
-	cpus     float64 // taken by live attempts
-	gpus     float64
-	memory   float64
-	services float64 // CPUs of those that are replicas
+	fenced     bool
+	session    uint64
+	seq        uint64
+	since      time.Duration // when this holding began
+	heard      time.Duration // last report
+	firstHeard time.Duration // first report under this grant
+	answered   time.Duration // last time a report was answered 200
+	notice     time.Duration // when the cloud takes the machine; 0: not announced
+	extras     []protocol.TaskStatus
+	attempts   map[bookkeeping.TaskRef]*attempt
+	cpus       float64 // taken by live attempts
+	gpus       float64
+	memory     float64
+	services   float64 // CPUs of those that are replicas
 
 	busy     bool // there may be orders to send
 	inFlight bool // a direct command is on its way
@@ -86,11 +87,13 @@
 	mute     time.Duration
 	pushed   time.Duration
 
-	// A machine whose reports arrive but which no answer reaches. Its highest
-	// token stays below what it was answered, its session moves on although it
-	// was answered, or starts go unheeded.
-	unheard time.Duration // since when its reports show that it misses answers; 0: they don't
-	deaf    bool
+	// A machine whose reports arrive may be one that no answer reaches. Where
+	// its reports give reason to think so, it is answered under a higher token,
+	// which it must show.
+	probe   uint64 // token that its reports must show
+	probeAt time.Duration
+	suspect bool // its last report did not show it
+	deaf    bool // nor did others long after
 
 	images map[int]time.Duration // when an image was last wanted here
 	errors int                   // in a row
@@ -414,6 +417,9 @@
 	if !r.Newer(x.session, x.seq) {
 		return
 	}
+	if x.seq == 0 {
+		x.firstHeard = now
+	}
 	h.listen(x, r, asked)
 	x.session, x.seq, x.heard = r.Session, r.Seq, now
 	x.fenced = r.Token >= x.base
@@ -489,41 +495,37 @@
 }
 
 // listen judges from a report whether answers and commands reach the machine. A
-// worker shows a higher token in its next report, a new task likewise, and its
-// session stays as long as its reports are answered. One that shows none of it
-// though it was answered for several reports hears nothing: what it runs ends
-// with its lease, and it must not be counted on.
+// worker that hears shows a higher token in its next report, new tasks likewise,
+// and its session stays as long as its reports are answered. One that is not so
+// is asked to show a higher token; if it doesn't for several reports, what it
+// runs ends with its lease, and it must not be counted on.
 func (h *holder) listen(x *holding, r *protocol.Report, asked bool) {
-	n := h.n
-	now := n.now()
-	w := n.Settings.Cluster.Workers
-	if !asked {
-		x.unheard, x.deaf = 0, false
-		return
-	}
+	now := h.n.now()
+	w := h.n.Settings.Cluster.Workers
 	patience := 2*w.Report() + workerPatience
-	misses := r.Session > x.session && x.seq > 0 && now-x.answered < w.Lease()/2 && now-x.since > w.Lease()
-	if r.Token < x.base && now-x.since > patience {
-		misses = true
+	if x.probe < x.base {
+		x.probe, x.probeAt = x.base, x.since
 	}
-	if !misses {
-		for _, a := range x.attempts {
-			if a.state == taskPlanned && a.token > 0 && !a.inherited && now-a.sentAt > patience &&
-				!slices.ContainsFunc(r.Tasks, func(t protocol.TaskStatus) bool { return t.Attempt == a.try }) {
-				misses = true
-				break
-			}
-		}
+	odd := r.Session > x.session && x.seq > 0 && now-x.answered < w.Lease()/2
+	for _, a := range x.attempts {
+		odd = odd || a.state == taskPlanned && a.token > 0 && !a.inherited && now-a.sentAt > patience &&
+			!slices.ContainsFunc(r.Tasks, func(t protocol.TaskStatus) bool { return t.Attempt == a.try })
+	}
+	if odd && x.fenced && r.Token >= x.probe && (x.probe == x.base || now-x.probeAt > w.Lease()) {
+		x.token++
+		x.probe, x.probeAt = x.token, now
+	}
+	x.suspect = r.Token < x.probe
+	deaf := x.suspect && asked && now-x.probeAt > patience
+	if deaf && !x.deaf && x.probe == x.base {
+		// It may have come up long after it was taken up; then it has not been
+		// answered yet.
+		deaf = x.seq > 0 && now-x.firstHeard > patience
 	}
-	switch {
-	case !misses:
-		x.unheard = 0
-	case x.unheard == 0:
-		x.unheard = now
-	case now-x.unheard > patience && !x.deaf:
-		x.deaf = true
-		n.Log.Info("machine hears nothing", "machine", x.m.Name, "session", r.Session, "token", r.Token)
+	if deaf && !x.deaf {
+		h.n.Log.Info("machine hears nothing", "machine", x.m.Name, "session", r.Session, "token", r.Token)
 	}
+	x.deaf = deaf
 }
 
 // ended1 takes in that a task was reported ended.
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -294,7 +294,7 @@
 // usable reports whether a machine takes new tasks now.
 func (h *holder) usable(x *holding, now time.Duration) bool {
 	report := h.n.Settings.Cluster.Workers.Report()
-	return h.n.entitled(x.shard) && x.fenced && !x.deaf && x.unheard == 0 && x.m.Phase == bookkeeping.PhaseActive && x.notice == 0 &&
+	return h.n.entitled(x.shard) && x.fenced && !x.suspect && x.m.Phase == bookkeeping.PhaseActive && x.notice == 0 &&
 		now >= x.avoid && now-x.heard < 2*report+time.Second
 }
 
--- a/internal/scenario/checker.go
+++ b/internal/scenario/checker.go
@@ -30,6 +30,9 @@
 // began is called when a task has its image and starts.
 func (c *checker) began(w *worker, t *onWorker) {
 	c.starts++
+	if j := c.s.users.jobs[t.spec.ID]; j.beganAt == 0 {
+		j.beganAt = c.s.now
+	}
 	if others := c.on[t.Task]; len(others) > 0 {
 		c.breach("ran_twice", "%s starts on %s while on %s", t.Task, w.r.Name, others[0].r.Name)
 	}
@@ -139,6 +142,44 @@
 	}
 }
 
+// answerWithin is how long after the last trouble a job may go unanswered.
+const answerWithin = 75 * time.Second
+
+// calm is called once all troubles are over: from then on no accepted job may go
+// unanswered for long, however others fare.
+func (c *checker) calm() {
+	c.s.calm = max(c.s.now, 1)
+	var look func()
+	look = func() {
+		for _, j := range c.s.users.jobs {
+			if since := max(c.s.calm, j.heard, j.acceptedAt); j.accepted && j.final == "" && c.s.now-since > answerWithin {
+				c.breach("forgotten", "no question about %s was answered since %s", j.spec.ID, since)
+			}
+		}
+		c.s.after(5*time.Second, look)
+	}
+	look()
+}
+
+// unserved names an accepted job that neither is over nor runs as it should.
+func (c *checker) unserved() string {
+	on := map[string]int{}
+	for task, workers := range c.on {
+		if id, _, err := protocol.SplitTask(task); err == nil && len(workers) > 0 {
+			on[id]++
+		}
+	}
+	for id, j := range c.s.users.jobs {
+		if !j.accepted || j.asked || j.final != "" {
+			continue
+		}
+		if j.spec.Kind != protocol.KindService || on[id] < j.spec.Tasks {
+			return id
+		}
+	}
+	return ""
+}
+
 // end checks what only the end of the day shows.
 func (c *checker) end() {
 	if c.starts == 0 {
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -329,6 +329,51 @@
 	case "cloud-lose":
 		share := w.num("share", 0.5)
 		return func() { s.cloud.lose = share }
+	case "deaf":
+		name, d := w.arg(0), w.duration(w.arg(1))
+		return func() {
+			if x := s.workers[name]; x != nil {
+				x.deaf = true
+				s.after(d, func() { x.deaf = false })
+			}
+		}
+	case "restart":
+		name := w.arg(0)
+		return func() {
+			if x := s.workers[name]; x != nil {
+				x.restart()
+			}
+		}
+	case "copies":
+		share, least, most := w.num("share", 0.3), w.duration(w.text("least", "1s")), w.duration(w.text("most", "90s"))
+		return func() { s.copies, s.copyLeast, s.copyMost = share, least, most }
+	case "calm":
+		return s.check.calm
+	case "rogue-mute":
+		id := w.arg(0)
+		return func() { s.users.jobs[id].muted = true }
+	case "stream":
+		// Many like jobs: one every so often, with ids that count up.
+		id, every, count := w.arg(0), w.duration(w.text("every", "1s")), int(w.num("count", 10))
+		prefix, number, _ := strings.Cut(id, "-")
+		first, err := strconv.Atoi(number)
+		if err != nil {
+			w.fail("stream: %v", err)
+		}
+		var jobs []*userJob
+		for i := range count {
+			w.args[0] = fmt.Sprintf("%s-%d", prefix, first+i)
+			jobs = append(jobs, s.job(w))
+		}
+		return func() {
+			for i, j := range jobs {
+				s.after(time.Duration(i)*every, func() {
+					j.submitted = s.now
+					s.users.jobs[j.spec.ID] = j
+					s.users.submit(j)
+				})
+			}
+		}
 	case "echo":
 		share := w.num("share", 0.3)
 		return func() { s.echo = share }
@@ -466,6 +511,21 @@
 		if least := w.num("least", 0); float64(n) < least {
 			return fmt.Sprintf("there are %d", n)
 		}
+	case "all":
+		// Every accepted job that nobody cancelled runs or is done.
+		if id := s.check.unserved(); id != "" {
+			return id + " is neither done nor runs as a whole"
+		}
+	case "served":
+		return s.served(w.num("share", 0.5), w.duration(w.text("largest", "4m")))
+	case "writes":
+		if most := w.num("most", math.Inf(1)); float64(s.store.writes) > most {
+			return fmt.Sprintf("there were %d", s.store.writes)
+		}
+	case "requests":
+		if most := w.num("most", math.Inf(1)); float64(s.store.requests) > most {
+			return fmt.Sprintf("there were %d", s.store.requests)
+		}
 	case "gone":
 		if r := s.cloud.find(w.arg(0)); r == nil || !r.gone {
 			return "it is still there"
@@ -485,6 +545,43 @@
 	return ""
 }
 
+// served checks that of every class, every team and every class's largest jobs
+// enough are done or run, and that the largest began soon.
+func (s *sim) served(share float64, begin time.Duration) string {
+	all := map[string][]*userJob{}
+	for _, j := range s.users.jobs {
+		if j.accepted && !j.asked {
+			all["class "+j.spec.Class] = append(all["class "+j.spec.Class], j)
+			all["team "+j.spec.Team] = append(all["team "+j.spec.Team], j)
+		}
+	}
+	for name, jobs := range all {
+		if !strings.HasPrefix(name, "class ") {
+			continue
+		}
+		slices.SortFunc(jobs, func(a, b *userJob) int { return b.spec.Tasks - a.spec.Tasks })
+		largest := jobs[:max(1, len(jobs)/10)]
+		all["largest of "+name] = largest
+		for _, j := range largest {
+			if j.beganAt == 0 && s.now-j.submitted > begin || j.beganAt-j.submitted > begin {
+				return fmt.Sprintf("%s with %d tasks did not begin in time", j.spec.ID, j.spec.Tasks)
+			}
+		}
+	}
+	for name, jobs := range all {
+		n := 0
+		for _, j := range jobs {
+			if j.final == protocol.StageDone || j.spec.Kind == protocol.KindService && j.beganAt > 0 {
+				n++
+			}
+		}
+		if float64(n) < share*float64(len(jobs)) {
+			return fmt.Sprintf("%d of %d of %s are served", n, len(jobs), name)
+		}
+	}
+	return ""
+}
+
 func (s *sim) before(w *words, took time.Duration) string {
 	if limit := w.text("within", ""); limit != "" && took > w.duration(limit) {
 		return fmt.Sprintf("it took %s", took)
--- a/internal/scenario/sim.go
+++ b/internal/scenario/sim.go
@@ -57,6 +57,10 @@
 	users   *users
 	check   *checker
 	echo    float64 // share of direct commands of which a late copy arrives
+	copies  float64 // share of reports of which a late copy arrives
+
+	copyLeast, copyMost time.Duration // how late
+	calm                time.Duration // when all troubles were over; 0: not yet
 }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -20,6 +20,8 @@
 	history  []change
 	watches  []*watch
 	outage   bool
+	writes   int     // puts and removals carried out or refused by a condition
+	requests int     // all calls
 	tokens   float64 // writes that may be made now
 	tokensAt time.Duration
 	lose     float64 // share of transactions whose answer is lost
@@ -105,6 +107,15 @@
 		return 0, protocol.ErrNotDone
 	}
 	st.tokens -= float64(len(t.Then))
+	st.writes += len(t.Then)
+	for _, op := range t.Then {
+		if float64(len(op.Value)) > st.s.cluster.State.ValueKB*1024 {
+			return 0, protocol.ErrNotDone
+		}
+	}
+	if len(t.If) > 4*st.s.cluster.State.TxnOps {
+		return 0, protocol.ErrNotDone
+	}
 	for _, c := range t.If {
 		var have uint64
 		if it := st.items[c.Key]; it != nil {
@@ -173,6 +184,7 @@
 // call makes a request there and back; refused is called when it is not done.
 func (l stateLink) call(do func(st *store) func(), refused func(error)) {
 	s := l.p.h.s
+	s.store.requests++
 	s.after(s.delay(), func() {
 		if s.store.down(l.p.h) {
 			s.after(s.delay(), l.p.guard(func() { refused(protocol.ErrNotDone) }))
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -28,6 +28,9 @@
 	final       string
 	finalAt     time.Duration
 	unheard     time.Duration // since when no poll was answered
+	heard       time.Duration // last answered poll
+	muted       bool          // answers to its polls are lost on purpose
+	beganAt     time.Duration // first task started
 	repeats     int
 }
 
@@ -122,9 +125,12 @@
 	s := u.s
 	id, final := j.spec.ID, j.final
 	u.ask(func(n *coordination.Node, reply func(coordination.Answer)) { n.Status(id, reply) }, func(a coordination.Answer) {
+		if j.muted {
+			a = coordination.Answer{}
+		}
 		switch a.Status {
 		case http.StatusOK:
-			j.unheard = 0
+			j.unheard, j.heard = 0, s.now
 			v := a.Body.(*protocol.View)
 			before := j.final
 			s.check.told(id, j, final, v.Stage)
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -17,6 +17,7 @@
 	dead    bool
 	cut     bool // no message gets through; direct commands are held back
 	held    []func()
+	deaf    bool // its reports arrive, but neither answers nor commands reach it
 	faulty  bool
 	slow    float64
 	session uint64
@@ -62,13 +63,7 @@
 			return
 		}
 		if w.s.now >= w.leaseAt+lease {
-			for _, t := range w.tasks {
-				w.s.check.left(w, t)
-			}
-			w.tasks = nil
-			w.session++
-			w.leaseAt = w.s.now
-			w.changed()
+			w.restart()
 		}
 		w.watchLease()
 	})
@@ -164,12 +159,13 @@
 		}
 		p.node.OnReport(r, func(a coordination.Answer) {
 			w.s.after(w.s.delay(), func() {
-				if !w.cut && !h.noWorkers {
+				if !w.cut && !w.deaf && !h.noWorkers {
 					finish(a, true)
 				}
 			})
 		})
 	}
+	w.s.copyReport(r)
 	if w.cut {
 		w.held = append(w.held, deliver) // the report arrives late
 		return
@@ -177,6 +173,21 @@
 	w.s.after(w.s.delay(), deliver)
 }
 
+// copyReport lets a copy of a report arrive late, at any controller, whatever has
+// become of the machine.
+func (s *sim) copyReport(r *protocol.Report) {
+	if s.copies == 0 || s.rand.Float64() >= s.copies {
+		return
+	}
+	late := s.copyLeast + time.Duration(s.rand.Int64N(int64(s.copyMost-s.copyLeast)+1))
+	h := s.nodes[s.rand.IntN(len(s.nodes))]
+	s.after(late, func() {
+		if h.p != nil && !h.noWorkers {
+			h.p.node.OnReport(r, func(coordination.Answer) {})
+		}
+	})
+}
+
 func (w *worker) next() { w.node = (w.node + 1) % len(w.s.nodes) }
 
 // heal ends a cut and delivers what was held back.
@@ -188,6 +199,17 @@
 	w.held = nil
 }
 
+// restart ends everything on the machine; its worker is back at once.
+func (w *worker) restart() {
+	for _, t := range w.tasks {
+		w.s.check.left(w, t)
+	}
+	w.tasks = nil
+	w.session++
+	w.leaseAt = w.s.now
+	w.changed()
+}
+
 // direct carries out commands sent straight to the worker.
 func (w *worker) direct(o protocol.DirectOrders) (*protocol.Report, bool) {
 	if o.Token < w.token || o.Session != w.session {
@@ -331,7 +353,7 @@
 			break
 		}
 		s.after(s.delay(), func() {
-			if w.dead || w.cut {
+			if w.dead || w.cut || w.deaf {
 				fail()
 				return
 			}
