--- a/internal/coordination/grant.go
+++ b/internal/coordination/grant.go
@@ -273,7 +273,7 @@
 		if !t.Limited() {
 			continue
 		}
-		next := splitShares(t.Shares, needs[i], settled)
+		next := splitShares(t.Shares, needs[i], guaranteedPart(t), settled)
 		rec[t.Name] = next
 		change = change || !slices.Equal(next, t.Shares)
 	}
@@ -298,9 +298,10 @@
 // splitShares works out a team's next shares from the present ones and what each
 // home needs. A home gets more only out of what nobody has, and only while all
 // are known to keep to the present shares; when one lacks, what others have
-// beyond their due is taken from them first. Services, which are homes 1 and up,
-// come before the work that ends.
-func splitShares(now []int, needs []need, settled bool) []int {
+// beyond their due is taken from them first. It lacks when it needs more than its
+// share, or more than its share of the guarantee, which is given as a part of the
+// limit. Services, which are homes 1 and up, come before the work that ends.
+func splitShares(now []int, needs []need, guaranteed int, settled bool) []int {
 	homes := len(needs)
 	due := make([]int, homes)
 	left := wholeShare
@@ -314,8 +315,14 @@
 		due[home] += more
 		left -= more
 	}
-	for i := range homes { // what nobody waits for is room to grow
-		due[i] += max(left, 0) / homes
+	// What nobody waits for is room to grow, in proportion: as long as all of a
+	// team's work fits into its guarantee, each home's part of it then does.
+	whole := 0
+	for _, n := range needs {
+		whole += n.used + n.waits + 1
+	}
+	for i, n := range needs {
+		due[i] += max(left, 0) * (n.used + n.waits + 1) / whole
 	}
 	if len(now) != homes {
 		return due
@@ -323,7 +330,8 @@
 	lacks := false
 	free := wholeShare
 	for i, s := range now {
-		lacks = lacks || needs[i].used+needs[i].waits > s && due[i] > s
+		n := needs[i].used + needs[i].waits
+		lacks = lacks || n > s && due[i] > s || n > s*guaranteed/wholeShare && due[i] > s+s/8+5
 		free -= s
 	}
 	next := slices.Clone(now)
@@ -343,6 +351,18 @@
 	return next
 }
 
+// guaranteedPart is a team's guarantee in thousandths of its limit.
+func guaranteedPart(t *bookkeeping.Team) int {
+	part := 1.0
+	if t.CPUsMax > 0 && t.CPUs > 0 {
+		part = min(part, t.CPUs/t.CPUsMax)
+	}
+	if t.GPUsMax > 0 && t.GPUs > 0 {
+		part = min(part, t.GPUs/t.GPUsMax)
+	}
+	return int(part * wholeShare)
+}
+
 // needs is what each team uses and waits for in each home, in thousandths of its
 // limit, or of its guarantee where it has no limit.
 func (l *leadership) needs() [][]need {
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -137,6 +137,8 @@
 	pages    map[int]*donePage // by chunk
 	next     int               // no task below it waits to be placed
 	attempts int
+	within   bool  // fits into its team's guarantee with the team's earlier jobs
+	starved  bool  // has once waited too long
 	zones    []int // attempts that may be on a machine, by zone
 	writing  bool
 	wroteAt  uint64
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -121,11 +121,13 @@
 			(j.GPUs == 0 || b.gpus+open*j.GPUs <= n.book.Share(t, j.Home, t.GPUs)+1e-6)
 		b.cpus += open * j.CPUs
 		b.gpus += open * j.GPUs
+		p.within = within
 		if now < p.backoff || h.nextOpen(j, p) < 0 {
 			continue
 		}
 		w := waiting{job: j, prog: p, within: within}
 		w.rate(j.Tasks-p.doneN, p.attempts > 0 || p.doneN > 0, n.Settings.Cluster.Objectives, nowMS)
+		p.starved = p.starved || w.starve
 		list = append(list, w)
 	}
 	order(list)
@@ -382,7 +384,9 @@
 	// Guaranteed share comes before what another team has borrowed. A service is
 	// never stopped for it: not for batch work, and one for another gains nobody
 	// anything, least of all when machines are lost and they take turns.
-	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Standing() {
+	// Nor is what is within its own team's guarantee, or has starved before: it
+	// would take the room back, and the two would stop each other for ever.
+	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Standing() || a.prog.within || a.prog.starved {
 		return false
 	}
 	b := h.n.book
