--- a/internal/coordination/grant.go
+++ b/internal/coordination/grant.go
@@ -233,7 +233,7 @@
 	}
 	homes := n.Options.Homes
 	if homes == 0 {
-		homes = len(n.nodes) - 2
+		homes = min(len(n.nodes)-2, 2)
 	}
 	rec := bookkeeping.HomesRecord{Homes: max(1, min(homes, n.shards))}
 	l.homing = true
