--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -20,7 +20,7 @@
 	FleetMax     int     // machines at most
 	RentPatience float64 // boot times of a new machine that arrays wait for the machines there are
 	ServiceSpare int     // replicas of each kind of running service for which room is kept
-	CallsPerTurn int     // cloud calls a cycle at most
+	CallsPerTurn int     // cloud calls for rentals a cycle at most; 0: derived from what the cloud allows
 	BootPatience float64 // multiples of a type's boot time after which a boot counts as failed
 	BlockLeaseS  float64 // a holder's lease on its machines; 0: derived from the workers' lease
 	Homes        int     // shards among which the work is split; 0: derived from the number of controllers
@@ -31,7 +31,7 @@
 func DefaultOptions() Options {
 	return Options{
 		CycleS: 1, RentWindowS: 1, GiveWindowS: 25, GiveBelow: 0.3,
-		FleetMin: 0, FleetMax: 10000, CallsPerTurn: 2, BootPatience: 2.5, ServiceSpare: 4, RentPatience: 2,
+		FleetMin: 0, FleetMax: 10000, CallsPerTurn: 0, BootPatience: 2.5, ServiceSpare: 4, RentPatience: 2,
 	}
 }
 
@@ -51,7 +51,7 @@
 		{"give_below", 0, 1, false, func(o *Options, v float64) { o.GiveBelow = v }},
 		{"fleet_min", 0, 100000, true, func(o *Options, v float64) { o.FleetMin = int(v) }},
 		{"fleet_max", 1, 100000, true, func(o *Options, v float64) { o.FleetMax = int(v) }},
-		{"calls_per_cycle", 1, 20, true, func(o *Options, v float64) { o.CallsPerTurn = int(v) }},
+		{"calls_per_cycle", 0, 20, true, func(o *Options, v float64) { o.CallsPerTurn = int(v) }},
 		{"boot_patience", 1.5, 20, false, func(o *Options, v float64) { o.BootPatience = v }},
 		{"rent_patience", 0, 20, false, func(o *Options, v float64) { o.RentPatience = v }},
 		{"service_spare", 0, 1000, true, func(o *Options, v float64) { o.ServiceSpare = int(v) }},
@@ -119,6 +119,15 @@
 	return o, nil
 }
 
+// Calls is how many rental calls a cycle may make: two, or as many as four tenths
+// of what the cloud allows in a second.
+func (o Options) Calls(c Cloud) int {
+	if o.CallsPerTurn > 0 {
+		return o.CallsPerTurn
+	}
+	return max(2, int(c.RPS*0.4))
+}
+
 // BlockLease is a holder's lease on its machines: a tenth of the workers'
 // lease, never more than half of what cancelling leaves beyond it.
 func (o Options) BlockLease(w Workers) time.Duration {
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -29,6 +29,7 @@
 	listing bool
 	listAt  time.Duration
 	failed  map[string]bool   // machines that the last list calls failed
+	cutOff  map[int]bool      // zones most of whose machines are silent
 	addrs   map[string]string // addresses that the records don't have yet
 	old     map[string]bool   // machines that are gone and that no list can name any more
 
@@ -46,7 +47,7 @@
 	claims  map[string]int      // machines that drain for the work of another home
 
 	deleting bool
-	deleted  map[string]bool // by the cloud, not yet in the records
+	deleted  map[string]time.Duration // by the cloud, not yet in the records, and since when
 	deleteAt time.Duration
 
 	cycleAt      time.Duration
@@ -105,7 +106,7 @@
 	return &fleet{
 		l: l, bounds: boundsOf(l.n.Options), refusedAt: map[pool]refusal{},
 		idleSince: windows{}, movableSince: windows{}, drainSince: windows{},
-		claims: map[string]int{}, deleted: map[string]bool{}, addrs: map[string]string{}, old: map[string]bool{}, strays: map[string]stray{}, coming: map[string]bool{}, writing: map[string]bool{}, waitTo: map[string]uint64{}, changes: map[string][]change{},
+		claims: map[string]int{}, deleted: map[string]time.Duration{}, cutOff: map[int]bool{}, addrs: map[string]string{}, old: map[string]bool{}, strays: map[string]stray{}, coming: map[string]bool{}, writing: map[string]bool{}, waitTo: map[string]uint64{}, changes: map[string][]change{},
 	}
 }
 
@@ -463,6 +464,7 @@
 	silence := n.Options.Silence(n.Settings.Cluster.Workers)
 	report := n.Settings.Cluster.Workers.Report()
 	deaf, held := map[int]int{}, map[int]int{}
+	quiet, up := map[int]int{}, map[int]int{}
 	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
 		if m.There() {
 			note, known := f.l.note(m)
@@ -470,8 +472,20 @@
 			if known && note.Deaf {
 				deaf[m.Shard]++
 			}
+			if known && (note.Seen || note.Tasks > 0) {
+				up[m.ZoneIdx]++
+				if note.Silent > 2*report {
+					quiet[m.ZoneIdx]++
+				}
+			}
 		}
 	})
+	clear(f.cutOff)
+	for zone, count := range up {
+		if count >= 4 && quiet[zone]*2 > count {
+			f.cutOff[zone] = true
+		}
+	}
 	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
 		if m.Block != "" && m.Phase == bookkeeping.PhaseGone && f.old[m.Name] {
 			f.change(change{m: m, forget: true})
@@ -491,6 +505,10 @@
 			f.change(change{m: m, phase: bookkeeping.PhaseReturning, why: "empty", empty: true})
 		case f.failed[m.Name]:
 			f.phase(m, bookkeeping.PhaseReturning, "failed")
+		case known && f.cutOff[m.ZoneIdx] && (note.Seen || note.Tasks > 0) && note.Silent < 4*n.Settings.Cluster.Workers.Lease() && !f.l.serves(m):
+			// Most of the zone is silent: it is cut off, and its machines are of
+			// use again as soon as it is back, sooner than any rented there
+			// instead. Only replicas must be free to start elsewhere at once.
 		case known && note.Seen && note.Silent > silence:
 			// Lost or hanging: the deletion's answer settles its tasks.
 			f.phase(m, bookkeeping.PhaseReturning, "silent")
@@ -519,6 +537,16 @@
 	})
 }
 
+// serves reports whether replicas may be on a machine.
+func (l *leadership) serves(m *bookkeeping.Machine) bool {
+	for ref := range m.Intents {
+		if j := l.n.book.Jobs.Get(ref.Job); j.Standing() && !j.Over() {
+			return true
+		}
+	}
+	return false
+}
+
 // wantedBy is the home whose waiting work a machine of another suits, or -1.
 func (f *fleet) wantedBy(m *bookkeeping.Machine) int {
 	if to, claimed := f.claims[m.Name]; claimed {
@@ -583,6 +611,12 @@
 	f.asks = slices.DeleteFunc(f.asks, func(b *ask) bool { return a == b })
 }
 
+// refused tells which pools are not to be asked: those that were empty a moment
+// ago, and those in a zone from which nothing is heard.
+func (f *fleet) refused(now time.Duration) func(pool) bool {
+	return func(p pool) bool { return f.cutOff[p.zone] || now < f.refusedAt[p].until }
+}
+
 // refuse remembers that a pool is empty, for longer each time.
 func (f *fleet) refuse(p pool) {
 	r := f.refusedAt[p]
@@ -591,6 +625,10 @@
 	f.refusedAt[p] = r
 }
 
+// goneAfter is how long the record that a machine is gone waits for company
+// where nobody waits for it.
+const goneAfter = 4 * time.Second
+
 // delete gives machines back whose return is recorded.
 func (f *fleet) delete(now time.Duration) {
 	n := f.l.n
@@ -598,13 +636,13 @@
 	for name := range f.deleted {
 		if _, m := n.book.Machines.Find(name); m == nil || m.Phase != bookkeeping.PhaseReturning {
 			delete(f.deleted, name)
-		} else {
+		} else if len(m.Intents) > 0 || now-f.deleted[name] > goneAfter {
 			f.phase(m, bookkeeping.PhaseGone, "deleted")
 		}
 	}
 	var list []*bookkeeping.Machine
 	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
-		if m.Block != "" && m.Phase == bookkeeping.PhaseReturning && !f.deleted[m.Name] && len(list) < 100 {
+		if m.Block != "" && m.Phase == bookkeeping.PhaseReturning && f.deleted[m.Name] == 0 && len(list) < 100 {
 			list = append(list, m)
 		}
 	})
@@ -628,7 +666,7 @@
 			return
 		}
 		for _, m := range list {
-			f.deleted[m.Name] = true
+			f.deleted[m.Name] = n.now()
 		}
 	})
 }
@@ -641,7 +679,7 @@
 	share := bookedShare(list, n.book.Types)
 	s := &sizing{
 		types: n.book.Types, zones: n.book.ZoneNames.ID, fits: n.book.Fits,
-		refused: func(p pool) bool { return now < f.refusedAt[p].until },
+		refused: f.refused(now),
 		demands: l.demands(), supply: list, patience: n.Options.RentPatience, slack: l.slack,
 	}
 	blocked := 0
@@ -666,7 +704,7 @@
 		s.count[pool{x.typ, x.zone, x.spot}]++
 	}
 	s.max = n.Options.FleetMax - len(list)
-	s.calls = max(0, n.Options.CallsPerTurn-len(f.asks))
+	s.calls = max(0, n.Options.Calls(n.Settings.Cluster.Cloud)-len(f.asks))
 	left := s.unmet()
 	spares := l.spares(list)
 	for _, d := range spares {
@@ -873,7 +911,7 @@
 // asking reports whether machines that suit a demand can still be rented.
 func (f *fleet) asking(d demand) bool {
 	s := &sizing{types: f.l.n.book.Types, zones: f.l.n.book.ZoneNames.ID, fits: f.l.n.book.Fits,
-		refused: func(p pool) bool { return f.l.n.now() < f.refusedAt[p].until }}
+		refused: f.refused(f.l.n.now())}
 	_, _, ok := s.cheapest(d, nil)
 	return ok
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -411,7 +411,7 @@
 func (n *Node) share() {
 	part := 0.03
 	if n.lead != nil {
-		part += 0.15
+		part += 0.25
 	}
 	for s := range n.shards {
 		switch {
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -563,10 +563,13 @@
 }
 
 // giveBack puts idle machines into the order in which they drain: the least
-// booked first.
+// booked first, of equal ones the dearest, and those of a block together, whose
+// changes then share their writes.
 func giveBack(idle []*supply, types []protocol.MachineType) {
+	each := func(x *supply) float64 { return price(&types[x.typ], x.spot) / max(types[x.typ].CPUs, 1e-9) }
 	slices.SortFunc(idle, func(a, b *supply) int {
-		return cmp.Or(cmp.Compare(a.booked(types), b.booked(types)), cmp.Compare(a.m.Name, b.m.Name))
+		return cmp.Or(cmp.Compare(a.booked(types), b.booked(types)), cmp.Compare(each(b), each(a)),
+			cmp.Compare(a.m.Block, b.m.Block), cmp.Compare(a.m.Name, b.m.Name))
 	})
 }
 
