--- a/internal/coordination/desk.go
+++ b/internal/coordination/desk.go
@@ -25,6 +25,7 @@
 	done    []*donePage
 	adds    []*attempt // not on a page yet
 	flushAt time.Duration
+	most    int // changes in a transaction; fewer after a refusal
 }
 
 // Times of a desk. Removals and completed tasks wait for company; new intents
@@ -33,6 +34,8 @@
 	flushPause = 40 * time.Millisecond
 	doneAfter  = time.Second
 	staleAfter = 2 * time.Second
+
+	mostChanges = 4
 )
 
 // sheet is what pages of both kinds have in common.
@@ -74,7 +77,7 @@
 }
 
 func newDesk(h *holder, shard int) *desk {
-	d := &desk{h: h, shard: shard}
+	d := &desk{h: h, shard: shard, most: mostChanges}
 	h.n.book.IntentPages(shard, func(k, entries int) {
 		p := d.page(k)
 		if entries > 0 {
@@ -219,7 +222,7 @@
 	t := protocol.Txn{If: []protocol.Cond{{Key: bookkeeping.GrantKey(d.shard), Version: n.book.Grants[d.shard].Version}}}
 	var pages []*page
 	var done []*donePage
-	most := min(n.Settings.Cluster.State.TxnOps, 4)
+	most := min(n.Settings.Cluster.State.TxnOps, max(d.most, 1))
 	for _, p := range d.done {
 		if p.dirtyAt == 0 && n.book.StaleDone(p.id) {
 			p.dirtyAt = now
@@ -270,8 +273,14 @@
 				s.dirty, s.dirtyAt, s.retryAt = true, max(1, n.now()-staleAfter), n.now()+n.jitter(retryPause/2)
 			}
 		}
+		if err == nil {
+			d.most = min(d.most+1, mostChanges)
+		}
 		if err != nil {
 			n.Log.Debug("pages not written", "shard", d.shard, "err", err)
+			// Where all controllers together ask for more writes than there are,
+			// small transactions get through and large ones starve.
+			d.most = max(1, d.most/2)
 			for _, p := range pages {
 				p.unknown = p.unknown || errors.Is(err, protocol.ErrUnknown)
 			}
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -17,7 +17,9 @@
 	since   time.Duration
 	touched time.Duration // when the last renewal that succeeded was sent
 	touchAt time.Duration
-	counter uint64
+	// Since when this leader itself has heard from the state service without a gap.
+	freshSince time.Duration
+	counter    uint64
 
 	peers    map[string]*peerInfo
 	granting []bool
@@ -113,7 +115,7 @@
 	case mine && (n.lead == nil || n.lead.term != r.Term):
 		now := n.now()
 		n.lead = &leadership{
-			n: n, term: r.Term, lease: r.Lease, since: now, touched: n.freshAt,
+			n: n, term: r.Term, lease: r.Lease, since: now, touched: n.freshAt, freshSince: now,
 			peers:    map[string]*peerInfo{},
 			granting: make([]bool, n.shards), grantAt: make([]time.Duration, n.shards),
 		}
@@ -166,6 +168,9 @@
 }
 
 func (l *leadership) tick() {
+	if now := l.n.now(); now-l.n.freshAt > 2*followWait {
+		l.freshSince = now
+	}
 	if !l.sure() {
 		return
 	}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -26,12 +26,13 @@
 	typesAt     time.Duration
 	typesWrite  bool
 
-	listing bool
-	listAt  time.Duration
-	failed  map[string]bool   // machines that the last list calls failed
-	cutOff  map[int]bool      // zones most of whose machines are silent
-	addrs   map[string]string // addresses that the records don't have yet
-	old     map[string]bool   // machines that are gone and that no list can name any more
+	listing  bool
+	listAt   time.Duration
+	failed   map[string]bool   // machines that the last list calls failed
+	unlisted map[string]bool   // machines that it should have named and did not
+	cutOff   map[int]bool      // zones most of whose machines are silent
+	addrs    map[string]string // addresses that the records don't have yet
+	old      map[string]bool   // machines that are gone and that no list can name any more
 
 	asks      []*ask
 	asked     int
@@ -106,7 +107,7 @@
 	return &fleet{
 		l: l, bounds: boundsOf(l.n.Options), refusedAt: map[pool]refusal{},
 		idleSince: windows{}, movableSince: windows{}, drainSince: windows{},
-		claims: map[string]int{}, deleted: map[string]time.Duration{}, cutOff: map[int]bool{}, addrs: map[string]string{}, old: map[string]bool{}, strays: map[string]stray{}, coming: map[string]bool{}, writing: map[string]bool{}, waitTo: map[string]uint64{}, changes: map[string][]change{},
+		claims: map[string]int{}, deleted: map[string]time.Duration{}, cutOff: map[int]bool{}, unlisted: map[string]bool{}, addrs: map[string]string{}, old: map[string]bool{}, strays: map[string]stray{}, coming: map[string]bool{}, writing: map[string]bool{}, waitTo: map[string]uint64{}, changes: map[string][]change{},
 	}
 }
 
@@ -223,6 +224,17 @@
 			}
 		}
 		f.failed = failed
+		// Machines are listed in the order in which they were made, and stay
+		// listed until they are gone: a list that has a later one knows them.
+		clear(f.unlisted)
+		if len(list) > 0 {
+			last := list[len(list)-1].Name
+			n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
+				if m.There() && m.Name < last && len(m.Name) == len(last) && !listed[m.Name] && f.l.age(m) > seconds(4*n.Settings.Cluster.Cloud.ListLagS) {
+					f.unlisted[m.Name] = true
+				}
+			})
+		}
 		// A record of a machine that is gone is kept until no list can name it.
 		keep := max(10*time.Minute, seconds(20*n.Settings.Cluster.Cloud.ListLagS))
 		n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
@@ -480,6 +492,7 @@
 			}
 		}
 	})
+	addresses := 1
 	clear(f.cutOff)
 	for zone, count := range up {
 		if count >= 4 && quiet[zone]*2 > count {
@@ -503,6 +516,9 @@
 				return
 			}
 			f.change(change{m: m, phase: bookkeeping.PhaseReturning, why: "empty", empty: true})
+		case f.unlisted[m.Name] && known && note.Silent > report:
+			// Taken without a notice. The deletion costs nothing and settles it.
+			f.phase(m, bookkeeping.PhaseReturning, "no longer listed")
 		case f.failed[m.Name]:
 			f.phase(m, bookkeeping.PhaseReturning, "failed")
 		case known && f.cutOff[m.ZoneIdx] && (note.Seen || note.Tasks > 0) && note.Silent < 4*n.Settings.Cluster.Workers.Lease() && !f.l.serves(m):
@@ -528,9 +544,12 @@
 			f.phase(m, bookkeeping.PhaseReturning, "never came up")
 		case known && note.Faulty && m.Phase == bookkeeping.PhaseActive:
 			f.phase(m, bookkeeping.PhaseDrain, "faulty")
-		case m.Addr == "" && n.budget.level > n.budget.rate/2:
+		case m.Addr == "" && addresses > 0 && n.budget.level > n.budget.rate*0.9:
 			// For whoever holds it next; nothing waits for it.
 			if addr := cmp.Or(note.Addr, f.addrs[m.Name]); addr != "" {
+				if !f.pending(m) && len(f.changes[m.Block]) == 0 {
+					addresses-- // one block a tick; the others of the block come with it
+				}
 				f.change(change{m: m, addr: addr})
 			}
 		}
--- a/internal/coordination/grant.go
+++ b/internal/coordination/grant.go
@@ -19,6 +19,8 @@
 type peerInfo struct {
 	incarnation uint64
 	heard       time.Duration
+	confirmed   time.Duration // last time its block leases were extended
+	stale       time.Duration // how long it had not heard from the state service
 	fresh       bool
 	left        bool // it ended by itself and gave up what it held
 	shares      uint64
@@ -96,7 +98,7 @@
 	}
 	info.incarnation = p.Incarnation
 	info.heard, info.fresh = now, p.FreshFor < n.authority/2
-	info.left, info.shares, info.kept = p.Leaving, p.Shares, p.Kept
+	info.left, info.shares, info.kept, info.stale = p.Leaving, p.Shares, p.Kept, p.FreshFor
 	info.notes = make(map[string]protocol.MachineNote, len(p.Machines))
 	for _, m := range p.Machines {
 		info.notes[m.Name] = m
@@ -105,6 +107,10 @@
 		l.fleet.stranger(&p.Strangers[i])
 	}
 	pong := &protocol.Pong{Leader: true, Term: l.term, SentAt: p.SentAt}
+	if l.useless(info) {
+		return pong // its block leases run out
+	}
+	info.confirmed = now
 	for s := range n.shards {
 		g := &n.book.Grants[s]
 		if g.Node == p.Node && g.Incarnation == p.Incarnation {
@@ -156,9 +162,9 @@
 		case p != nil && now-p.heard < aliveFor && p.incarnation > g.Incarnation:
 			// The holder has restarted and declared its former self over.
 			to = g.Node
-		case p != nil && p.incarnation == g.Incarnation && now-p.heard < n.blockLease:
+		case p != nil && p.incarnation == g.Incarnation && now-p.heard < n.blockLease && !l.useless(p):
 			// Alive: re-confirmed by every ping.
-		case now-l.since > n.blockLease && (p == nil || now-p.heard > n.blockLease):
+		case now-l.since > n.blockLease && (p == nil || now-p.heard > n.blockLease || now-p.confirmed > n.blockLease):
 			// Neither this leader nor, by the wait, an earlier one has
 			// confirmed it for a whole block lease.
 			to = l.best(s, held)
@@ -175,6 +181,14 @@
 	}
 }
 
+// useless reports whether a controller can be heard but has not heard from the
+// state service for long, while the leader has: refused alone, it can neither
+// start anything nor learn of it, and others must take over what it holds.
+func (l *leadership) useless(p *peerInfo) bool {
+	n := l.n
+	return p.stale > n.blockLease && n.now()-l.freshSince > n.blockLease+2*pingEvery
+}
+
 // work reports whether a shard is a home.
 func (l *leadership) work(shard int) bool { return shard < l.n.book.Homes }
 
@@ -186,7 +200,7 @@
 	best, cost := "", 0
 	for i, node := range n.nodes {
 		p := l.peers[node]
-		if p == nil || p.left || now-p.heard >= aliveFor {
+		if p == nil || p.left || now-p.heard >= aliveFor || l.useless(p) {
 			continue
 		}
 		c := held[node]*100 + (i+len(n.nodes)-shard)%len(n.nodes)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -409,9 +409,9 @@
 // the homes of services less, and what is left is for users' requests, which
 // never wait for a budget.
 func (n *Node) share() {
-	part := 0.03
+	part := 0.02
 	if n.lead != nil {
-		part += 0.25
+		part += 0.2
 	}
 	for s := range n.shards {
 		switch {
@@ -421,7 +421,7 @@
 		case s == 0:
 			part += 0.45
 		default:
-			part += 0.15 / float64(n.book.Homes-1)
+			part += 0.1 / float64(n.book.Homes-1)
 		}
 	}
 	n.budget.rate = max(1, part*n.Settings.Cluster.State.WriteRPS)
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -146,7 +146,7 @@
 	boot := s.types[p.typ].BootS
 	horizon := boot * s.patience
 	if s.slack != nil {
-		horizon = min(horizon, max(boot, s.slack(d.job)))
+		horizon = min(horizon, max(boot, s.slack(d.job))/2)
 	}
 	for _, x := range s.supply {
 		if !x.taking || x.shard != d.shard || !s.suits(x, d.job) {
