More room for services to come, on any type; the fastest fetch where no machine has the image

The mean without the fullest quarter of the bins understates arrivals; the penalty for types that other work needs kept new room off the machines that fetch twice as fast.

--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -344,10 +344,12 @@
 		if x.m.Spot {
 			score += 1000
 		}
+		t := &h.n.book.Types[x.m.TypeIdx]
 		if _, cached := x.images[j.ImageIdx]; cached {
 			score += 100
+		} else if t.FetchGBPS > 0 {
+			score -= min(10*j.ImageGB/t.FetchGBPS, 80) // seconds, and what they weigh against a fuller machine
 		}
-		t := &h.n.book.Types[x.m.TypeIdx]
 		if j.Standing() {
 			// Beside other services: one alone would keep a machine that was
 			// rented for a burst of other work from going back.
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -24,6 +24,7 @@
 	shard int
 	count int
 	zones []int // how many more may be in a zone, by index; nil: no bound
+	spare bool  // room to be kept, for work that has not come yet
 }
 
 // zone is how many of the tasks may go to a zone.
@@ -303,7 +304,7 @@
 				if d.job.Standing() {
 					cost *= 1 + 0.1/float64(n) // one with room for many is likelier to have the next one's image
 				}
-				if s.sole[typ] {
+				if s.sole[typ] && !d.spare {
 					cost *= 1.3 // other work has no other machines
 				}
 				tie := s.count[p] - 1000*n
@@ -480,6 +481,7 @@
 	out = gather(shapes)
 	for i := range out {
 		// Services that are spread need their room in more than one zone.
+		out[i].spare = true
 		if d := &out[i]; d.job.Spread && d.count > 1 {
 			d.zones = make([]int, n.book.ZoneNames.Len())
 			for z := range d.zones {
@@ -508,15 +510,13 @@
 			boot = b.Types[typ].BootS
 		}
 	}
-	sorted := slices.Sorted(slices.Values(bins[:]))
-	sum, largest := 0, 0
-	for _, c := range sorted[:arrivalBins*3/4] {
+	sum := 0
+	for _, c := range slices.Sorted(slices.Values(bins[:]))[:arrivalBins*3/4] {
 		sum += c
-		largest = max(largest, c)
 	}
 	rate := float64(sum) / (arrivalBin.Seconds() * arrivalBins * 3 / 4)
-	expect := rate * boot * 1.5
-	return int(math.Ceil(expect + 1.5*math.Sqrt(expect*float64(max(j.Tasks, 1)))))
+	expect := rate * boot * 2
+	return int(math.Ceil(expect + 2*math.Sqrt(expect*float64(max(j.Tasks, 1)))))
 }
 
 // slack is how many seconds are left until a task of a job must start if the job
