Take as many writes as there are instead of waiting for four; jobs that end don't wait

Ruled out: refusals, sockets, the watch. Machines' time is counted in parts of tasks: rounding down left a machine for one task at a time with none.

--- a/deploy/options.hcl
+++ b/deploy/options.hcl
@@ -12,7 +12,7 @@
 # Machines never given back, and machines at most (0 and 1 to 100000).
 fleet_min = 0
 fleet_max = 10000
-# Cloud calls for rentals a cycle at most; 0 makes it two, or four tenths of what
+# Cloud calls for rentals a cycle at most; 0 makes it two, or six tenths of what
 # the cloud allows in a second where that is more (0 to 20).
 calls_per_cycle = 0
 # Multiples of a type's boot time after which a boot counts as failed (1.5 to 20).
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -119,13 +119,13 @@
 	return o, nil
 }
 
-// Calls is how many rental calls a cycle may make: two, or as many as four tenths
+// Calls is how many rental calls a cycle may make: two, or as many as six tenths
 // of what the cloud allows in a second.
 func (o Options) Calls(c Cloud) int {
 	if o.CallsPerTurn > 0 {
 		return o.CallsPerTurn
 	}
-	return max(2, int(c.RPS*0.4))
+	return max(2, int(c.RPS*0.6))
 }
 
 // BlockLease is a holder's lease on its machines: a tenth of the workers'
--- a/internal/coordination/desk.go
+++ b/internal/coordination/desk.go
@@ -222,7 +222,10 @@
 	t := protocol.Txn{If: []protocol.Cond{{Key: bookkeeping.GrantKey(d.shard), Version: n.book.Grants[d.shard].Version}}}
 	var pages []*page
 	var done []*donePage
-	most := min(n.Settings.Cluster.State.TxnOps, max(d.most, 1))
+	// Never more than there are writes for: waiting for a few at once, this would
+	// starve beside others that take one or two as they come.
+	n.budget.fill(now)
+	most := min(n.Settings.Cluster.State.TxnOps, d.most, max(1, int(n.budget.level)))
 	for _, p := range d.done {
 		if p.dirtyAt == 0 && n.book.StaleDone(p.id) {
 			p.dirtyAt = now
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -258,10 +258,11 @@
 	}
 }
 
-// blockSize is how many machines a block holds, so that its value stays within
-// bounds with every field of every entry set.
-func (f *fleet) blockSize() int {
-	return max(1, int(f.l.n.Settings.Cluster.State.ValueKB*1024-300)/130)
+// blockSize is how many machines with such names a block holds, so that its value
+// stays within bounds whatever becomes of them: an entry with an address and the
+// longest phase takes up to 70 bytes beside the name.
+func (f *fleet) blockSize(name string) int {
+	return max(1, (int(f.l.n.Settings.Cluster.State.ValueKB*1024)-250)/(70+len(name)))
 }
 
 // block makes a block of machines to be recorded.
@@ -285,7 +286,7 @@
 		if _, m := n.book.Machines.Find(name); m != nil && m.Block != "" || f.coming[name] {
 			continue
 		}
-		if len(rec.Machines) > 0 && (s.typ != last.typ || s.zone != last.zone || s.spot != last.spot || len(rec.Machines) >= f.blockSize()) {
+		if len(rec.Machines) > 0 && (s.typ != last.typ || s.zone != last.zone || s.spot != last.spot || len(rec.Machines) >= f.blockSize(name)) {
 			f.block(rec)
 			rec.Machines = nil
 		}
@@ -596,7 +597,7 @@
 			case err == nil:
 				n.Log.Info("rented", "machines", len(names), "type", a.Type, "zone", a.Zone, "spot", a.Spot, "term", f.l.term)
 				rec := bookkeeping.BlockRecord{Type: a.Type, Zone: a.Zone, Spot: a.Spot, Shard: a.shard, AtMS: n.Clock.Wall().UnixMilli()}
-				for part := range slices.Chunk(names, f.blockSize()) {
+				for part := range slices.Chunk(names, f.blockSize(names[0])) { // at least one was rented
 					rec.Machines = nil
 					for _, name := range part {
 						rec.Machines = append(rec.Machines, bookkeeping.BlockMachine{Name: name})
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -104,22 +104,23 @@
 
 // holder reconciles what should be on its machines with what is.
 type holder struct {
-	n        *Node
-	machines map[string]*holding
-	list     []*holding // the same, by name
-	desks    map[int]*desk
-	placed   map[bookkeeping.TaskRef]int // attempts of a task that are not proven over
-	jobs     map[*bookkeeping.Job]*progress
-	mine     []*bookkeeping.Job // unfinished jobs of the homes held, in the order of arrival
-	jobsSeen uint64
-	usage    map[int][]usage // by home and team
-	ranks    [maxRank]int    // live attempts by rank
-	services float64         // CPUs that replicas take
-	ended    []*attempt      // completed, waiting to be durable
-	ending   []*progress     // all tasks done, waiting to be durable
-	tries    uint64
-	kicked   bool
-	passAt   time.Duration // no pass before
+	n         *Node
+	machines  map[string]*holding
+	list      []*holding // the same, by name
+	desks     map[int]*desk
+	placed    map[bookkeeping.TaskRef]int // attempts of a task that are not proven over
+	jobs      map[*bookkeeping.Job]*progress
+	mine      []*bookkeeping.Job // unfinished jobs of the homes held, in the order of arrival
+	jobsSeen  uint64
+	usage     map[int][]usage // by home and team
+	ranks     [maxRank]int    // live attempts by rank
+	services  float64         // CPUs that replicas take
+	ended     []*attempt      // completed, waiting to be durable
+	ending    []*progress     // all tasks done, waiting to be durable
+	finishing int             // of those, being written
+	tries     uint64
+	kicked    bool
+	passAt    time.Duration // no pass before
 
 	summaryAt time.Duration
 }
@@ -884,6 +885,8 @@
 	}
 }
 
+const maxFinishing = 8
+
 // finish makes jobs durable whose tasks are all done, and lets completed
 // attempts leave their machines once that is.
 func (h *holder) finish() {
@@ -894,10 +897,13 @@
 		if j.Over() || h.jobs[j] != p {
 			return true
 		}
-		if p.writing || n.revision < p.wroteAt || now < p.retryAt || !n.entitled(j.Home) || !n.budget.take(now, 2) {
+		if p.writing || n.revision < p.wroteAt || now < p.retryAt || !n.entitled(j.Home) || h.finishing >= maxFinishing {
 			return false
 		}
+		// Users wait for it, and there are few jobs beside tasks.
+		n.budget.force(now, 2)
 		p.writing = true
+		h.finishing++
 		n.State.Txn(protocol.Txn{
 			If: []protocol.Cond{
 				{Key: bookkeeping.JobKey(j.ID), Version: j.Version},
@@ -909,6 +915,7 @@
 			},
 		}, func(revision uint64, err error) {
 			p.writing = false
+			h.finishing--
 			if n.hold != h {
 				return
 			}
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -147,18 +147,23 @@
 	boot := s.types[p.typ].BootS
 	horizon := boot * s.patience
 	if s.slack != nil {
-		horizon = min(horizon, max(boot, s.slack(d.job))/2)
+		horizon = min(horizon, max(boot, s.slack(d.job)))
 	}
+	part := 0.0 // of a task that a machine has time for beyond whole ones: few have time for just whole ones
 	for _, x := range s.supply {
 		if !x.taking || x.shard != d.shard || !s.suits(x, d.job) {
 			continue
 		}
 		each := share(&s.types[x.typ], d.job) * runS(d.job)
-		n := min(int(((horizon-x.bootLeft)*(1-x.fixed)-x.busy)/each), d.count)
-		if n > 0 {
-			x.busy += float64(n) * each
-			d.count -= n
+		time := (horizon-x.bootLeft)*(1-x.fixed) - x.busy
+		if time <= 0 {
+			continue
 		}
+		part += time / each
+		n := min(int(part), d.count)
+		part -= float64(n)
+		x.busy += min(time, float64(d.count)*each)
+		d.count -= n
 		if d.count == 0 {
 			return
 		}
