Old answers and late copies can't bring back what was removed; claims are shared out

Empty blocks now stay for their term. The same hole for answers to two reads of the changes that overtake each other: events at or below the revision reached are skipped. Both have tests that fail without. Reads are paced by what the state service allows.

--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -160,11 +160,14 @@
 	return protocol.Cond{Key: bookkeeping.KeyLeader, Version: l.n.book.LeaderVer}
 }
 
+// termShift is where a token holds the term.
+const termShift = 44
+
 // token returns a fencing token above every earlier one: the term in the high
 // bits, then a counter of this leader's, then room for the holder's own steps.
 func (l *leadership) token() uint64 {
 	l.counter++
-	return l.term<<44 | l.counter<<24
+	return l.term<<termShift | l.counter<<24
 }
 
 func (l *leadership) tick() {
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -38,14 +38,15 @@
 	asked     int
 	refusedAt map[pool]refusal
 
-	strays  map[string]stray    // machines found, not in a block yet
-	fresh   []*newBlock         // blocks whose record is to be made
-	coming  map[string]bool     // machines of those
-	writing map[string]bool     // blocks
-	waitTo  map[string]uint64   // revision that must be in the book before a block's next write
-	changes map[string][]change // by block, worked out anew every tick
-	left    []demand            // what the last cycle found no room for
-	claims  map[string]int      // machines that drain for the work of another home
+	strays  map[string]stray                   // machines found, not in a block yet
+	fresh   []*newBlock                        // blocks whose record is to be made
+	coming  map[string]bool                    // machines of those
+	writing map[string]bool                    // blocks
+	waitTo  map[string]uint64                  // revision that must be in the book before a block's next write
+	changes map[string][]change                // by block, worked out anew every tick
+	left    []demand                           // what the last cycle found no room for
+	claims  map[string]int                     // machines that drain for the work of another home
+	moves   map[moveKey][]*bookkeeping.Machine // empty ones that go to another home now
 
 	deleting bool
 	deleted  map[string]time.Duration // by the cloud, not yet in the records, and since when
@@ -103,11 +104,17 @@
 	empty  bool // rests on the holder's word that nothing is on the machine
 }
 
+// moveKey names machines of a block that go to the same home.
+type moveKey struct {
+	block string
+	to    int
+}
+
 func newFleet(l *leadership) *fleet {
 	return &fleet{
 		l: l, bounds: boundsOf(l.n.Options), refusedAt: map[pool]refusal{},
 		idleSince: windows{}, movableSince: windows{}, drainSince: windows{},
-		claims: map[string]int{}, deleted: map[string]time.Duration{}, cutOff: map[int]bool{}, unlisted: map[string]bool{}, addrs: map[string]string{}, old: map[string]bool{}, strays: map[string]stray{}, coming: map[string]bool{}, writing: map[string]bool{}, waitTo: map[string]uint64{}, changes: map[string][]change{},
+		claims: map[string]int{}, moves: map[moveKey][]*bookkeeping.Machine{}, deleted: map[string]time.Duration{}, cutOff: map[int]bool{}, unlisted: map[string]bool{}, addrs: map[string]string{}, old: map[string]bool{}, strays: map[string]stray{}, coming: map[string]bool{}, writing: map[string]bool{}, waitTo: map[string]uint64{}, changes: map[string][]change{},
 	}
 }
 
@@ -123,7 +130,9 @@
 	clear(f.changes)
 	f.list(now)
 	f.records()
+	clear(f.moves)
 	f.tidy(now)
+	f.handOver()
 	f.send(now)
 	f.delete(now)
 	if now >= f.cycleAt {
@@ -373,11 +382,7 @@
 			b := n.book.Blocks[id]
 			rec := f.changed(b, f.changes[id])
 			t.If = append(t.If, protocol.Cond{Key: bookkeeping.BlockKey(id), Version: b.Version})
-			if len(rec.Machines) == 0 {
-				t.Then = append(t.Then, protocol.Op{Delete: bookkeeping.BlockKey(id)})
-			} else {
-				t.Then = append(t.Then, protocol.Op{Put: bookkeeping.BlockKey(id), Value: bookkeeping.Encode(rec)})
-			}
+			t.Then = append(t.Then, f.l.blockOp(id, rec))
 			if slices.ContainsFunc(f.changes[id], func(c change) bool { return c.empty }) && !grants[b.Shard] {
 				grants[b.Shard] = true
 				t.If = append(t.If, f.grantCond(b.Shard))
@@ -387,6 +392,18 @@
 	}
 }
 
+// blockOp writes a block, or removes it once it is empty. The transaction that
+// made it may have been sent twice, and a late copy of it demands only that the
+// key does not exist and that its leader still leads: a block that was removed
+// under the same term could come back with machines that are elsewhere by now.
+// So an empty one is kept until a later term.
+func (l *leadership) blockOp(id string, rec bookkeeping.BlockRecord) protocol.Op {
+	if len(rec.Machines) == 0 && rec.Token>>termShift < l.term {
+		return protocol.Op{Delete: bookkeeping.BlockKey(id)}
+	}
+	return protocol.Op{Put: bookkeeping.BlockKey(id), Value: bookkeeping.Encode(rec)}
+}
+
 func (f *fleet) grantCond(shard int) protocol.Cond {
 	return protocol.Cond{Key: bookkeeping.GrantKey(shard), Version: f.l.n.book.Grants[shard].Version}
 }
@@ -444,29 +461,34 @@
 	return rec
 }
 
-// handOver gives an empty drained machine to another home: it leaves its block
-// for a new one under a token above any that it has seen.
-func (f *fleet) handOver(m *bookkeeping.Machine, shard int) {
+// handOver gives empty drained machines to other homes: they leave their block for
+// a new one under a token above any that they have seen. All of a block that go
+// to one home go in one transaction, with what else is to change in the block.
+func (f *fleet) handOver() {
 	n := f.l.n
-	b := n.book.Blocks[m.Block]
-	if b == nil || f.pending(m) || len(f.changes[m.Block]) > 0 || !n.budget.take(n.now(), 2) {
-		return
-	}
-	from := f.changed(b, []change{{m: m, forget: true}})
-	to := bookkeeping.BlockRecord{Type: b.Type, Zone: b.Zone, Spot: b.Spot, Shard: shard, Token: f.l.token(), AtMS: b.AtMS,
-		Machines: []bookkeeping.BlockMachine{{Name: m.Name, Addr: m.Addr}}}
-	key := bookkeeping.BlockKey(strconv.FormatUint(to.Token>>24, 36))
-	t := protocol.Txn{
-		If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.BlockKey(m.Block), Version: b.Version}, {Key: key}, f.grantCond(b.Shard)},
-		Then: []protocol.Op{{Put: key, Value: bookkeeping.Encode(to)}},
-	}
-	if len(from.Machines) == 0 {
-		t.Then = append(t.Then, protocol.Op{Delete: bookkeeping.BlockKey(m.Block)})
-	} else {
-		t.Then = append(t.Then, protocol.Op{Put: bookkeeping.BlockKey(m.Block), Value: bookkeeping.Encode(from)})
+	for _, k := range slices.SortedFunc(maps.Keys(f.moves), func(a, b moveKey) int {
+		return cmp.Or(cmp.Compare(a.block, b.block), cmp.Compare(a.to, b.to))
+	}) {
+		b := n.book.Blocks[k.block]
+		if b == nil || f.writing[k.block] || n.revision < f.waitTo[k.block] || !n.budget.take(n.now(), 2) {
+			continue
+		}
+		to := bookkeeping.BlockRecord{Type: b.Type, Zone: b.Zone, Spot: b.Spot, Shard: k.to, Token: f.l.token(), AtMS: b.AtMS}
+		changes := f.changes[k.block]
+		for _, m := range f.moves[k] {
+			to.Machines = append(to.Machines, bookkeeping.BlockMachine{Name: m.Name, Addr: m.Addr})
+			changes = append(changes, change{m: m, forget: true})
+		}
+		from := f.changed(b, changes)
+		delete(f.changes, k.block)
+		key := bookkeeping.BlockKey(strconv.FormatUint(to.Token>>24, 36))
+		t := protocol.Txn{
+			If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.BlockKey(k.block), Version: b.Version}, {Key: key}, f.grantCond(b.Shard)},
+			Then: []protocol.Op{{Put: key, Value: bookkeeping.Encode(to)}, f.l.blockOp(k.block, from)},
+		}
+		n.Log.Info("machines move", "count", len(to.Machines), "from", b.Shard, "to", k.to, "term", f.l.term)
+		f.txn([]string{k.block}, t)
 	}
-	n.Log.Info("machine moves", "name", m.Name, "from", m.Shard, "to", shard, "term", f.l.term)
-	f.txn([]string{m.Block}, t)
 }
 
 // tidy moves machines along: drained ones that are empty go back or to a home
@@ -493,6 +515,11 @@
 			}
 		}
 	})
+	for id, b := range n.book.Blocks {
+		if len(b.Machines) == 0 && b.Token>>termShift < f.l.term {
+			f.changes[id] = nil // it can go now
+		}
+	}
 	addresses := 1
 	clear(f.cutOff)
 	for zone, count := range up {
@@ -513,7 +540,8 @@
 		switch {
 		case m.Phase == bookkeeping.PhaseDrain && known && note.Empty != 0 && note.Empty == m.Drain:
 			if to := f.wantedBy(m); to >= 0 && !note.Faulty && !note.Leaves {
-				f.handOver(m, to)
+				k := moveKey{m.Block, to}
+				f.moves[k] = append(f.moves[k], m)
 				return
 			}
 			f.change(change{m: m, phase: bookkeeping.PhaseReturning, why: "empty", empty: true})
@@ -886,9 +914,20 @@
 // among homes the other work is let end, and nothing new begins there.
 func (f *fleet) claim(list []*supply) {
 	n := f.l.n
-	for name := range f.claims {
-		if _, m := n.book.Machines.Find(name); m == nil || m.Phase == bookkeeping.PhaseReturning || !m.There() || m.Shard == f.claims[name] {
+	s := &sizing{types: n.book.Types, fits: n.book.Fits}
+	var rooms []*supply // what claimed machines will offer, filled as the demands are gone through
+	room := func(m *bookkeeping.Machine, shard int) *supply {
+		return newSupply(&n.book.Types[m.TypeIdx], pool{m.TypeIdx, m.ZoneIdx, m.Spot}, shard)
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.claims)) {
+		_, m := n.book.Machines.Find(name)
+		if m == nil || m.Phase == bookkeeping.PhaseReturning || !m.There() || m.Shard == f.claims[name] {
 			delete(f.claims, name)
+			continue
+		}
+		rooms = append(rooms, room(m, f.claims[name]))
+		if m.Phase == bookkeeping.PhaseActive && !f.pending(m) {
+			f.phase(m, bookkeeping.PhaseDrain, "claimed by work of a higher rank") // not written yet
 		}
 	}
 	var sorted []*supply
@@ -898,12 +937,8 @@
 			continue
 		}
 		d.zones = slices.Clone(d.zones)
-		for name, shard := range f.claims {
-			if _, m := n.book.Machines.Find(name); shard == d.shard && n.book.Suits(d.job, m) {
-				for range min(d.zone(m.ZoneIdx), holds(&n.book.Types[m.TypeIdx], d.job)) {
-					d.take(m.ZoneIdx)
-				}
-			}
+		for _, x := range rooms {
+			s.fill(x, &d)
 		}
 		if d.count > 0 && sorted == nil {
 			sorted = slices.SortedStableFunc(slices.Values(list), func(a, b *supply) int {
@@ -921,9 +956,8 @@
 			f.claims[x.m.Name] = d.shard
 			n.Log.Info("machine claimed", "name", x.m.Name, "from", x.shard, "for", d.shard, "term", f.l.term)
 			f.phase(x.m, bookkeeping.PhaseDrain, "claimed by work of a higher rank")
-			for range min(d.zone(x.zone), holds(&n.book.Types[x.typ], d.job)) {
-				d.take(x.zone)
-			}
+			rooms = append(rooms, room(x.m, d.shard))
+			s.fill(rooms[len(rooms)-1], &d)
 		}
 	}
 }
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -466,7 +466,7 @@
 		case protocol.TaskSaving:
 			a.state = taskSaving
 		case protocol.TaskEnded:
-			h.ended1(a, t)
+			h.outcome(a, t)
 			news = true
 		}
 	}
@@ -531,8 +531,8 @@
 	x.deaf = deaf
 }
 
-// ended1 takes in that a task was reported ended.
-func (h *holder) ended1(a *attempt, t *protocol.TaskStatus) {
+// outcome takes in how a task was reported to have ended.
+func (h *holder) outcome(a *attempt, t *protocol.TaskStatus) {
 	n := h.n
 	x := a.on
 	now := n.now()
--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -52,7 +52,7 @@
 		Settings: &config.Settings{Node: "a", Cluster: config.Cluster{
 			Teams:   []config.Team{{Name: "red", CPUsMax: 8}},
 			Workers: config.Workers{ReportS: 3, LeaseS: 30, CancelS: 60},
-			State:   config.State{WriteRPS: 100, ValueKB: 8, TxnOps: 8},
+			State:   config.State{RPS: 200, WriteRPS: 100, ValueKB: 8, TxnOps: 8},
 		}},
 		Options: config.DefaultOptions(), Clock: b, State: b, Workers: b, Peers: b,
 		Rand: rand.New(rand.NewPCG(1, 2)), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -245,3 +245,39 @@
 		t.Errorf("status %d to a worker that has seen a higher token", a.Status)
 	}
 }
+
+// Two reads of the changes may be answered in the wrong order. What the book has
+// seen removed must not come back with the older answer.
+func TestAnswersOutOfOrder(t *testing.T) {
+	b := newBench(t)
+	rec := bookkeeping.Encode(bookkeeping.JobRecord{Spec: protocol.Spec{ID: "run-7", Team: "red", Kind: protocol.KindArray, Priority: "normal", Tasks: 1, CPUs: 1}})
+	put := protocol.Event{Put: bookkeeping.JobKey("run-7"), Value: rec, Version: b.rev + 1}
+	gone := protocol.Event{Remove: bookkeeping.JobKey("run-7"), Version: b.rev + 2}
+	b.n.takeIn(protocol.Changes{Revision: b.rev + 2, Events: []protocol.Event{put, gone}}, b.now)
+	b.n.takeIn(protocol.Changes{Revision: b.rev + 1, Events: []protocol.Event{put}}, b.now)
+	if _, j := b.n.book.Jobs.Find("run-7"); j != nil && !j.Over() {
+		t.Error("a removed job came back")
+	}
+	block := bookkeeping.BlockKey("c")
+	in := protocol.Event{Put: block, Value: bookkeeping.Encode(bookkeeping.BlockRecord{Type: "small", Zone: "z", Machines: []bookkeeping.BlockMachine{{Name: "m-9"}}}), Version: b.rev + 3}
+	out := protocol.Event{Remove: block, Version: b.rev + 4}
+	b.n.takeIn(protocol.Changes{Revision: b.rev + 4, Events: []protocol.Event{in, out}}, b.now)
+	b.n.takeIn(protocol.Changes{Revision: b.rev + 3, Events: []protocol.Event{in}}, b.now)
+	if _, m := b.n.book.Machines.Find("m-9"); m != nil && m.There() {
+		t.Error("a machine whose block was removed came back")
+	}
+}
+
+// A late copy of the transaction that made a block must find its key there for
+// as long as its leader leads, or machines that have moved on would come back.
+func TestEmptyBlocksStayForTheirTerm(t *testing.T) {
+	l := &leadership{term: 5}
+	empty := bookkeeping.BlockRecord{Token: 5<<termShift | 1}
+	if op := l.blockOp("x", empty); op.Delete != "" {
+		t.Error("an empty block of this term is removed")
+	}
+	empty.Token = 4<<termShift | 1
+	if op := l.blockOp("x", empty); op.Delete == "" {
+		t.Error("an empty block of an earlier term stays")
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -76,8 +76,6 @@
 	tickEvery   = 250 * time.Millisecond
 	pingEvery   = 500 * time.Millisecond
 	followWait  = time.Second
-	followPause = 100 * time.Millisecond // between two reads of the changes
-	syncPause   = 200 * time.Millisecond // between two that questions ask for
 	retryPause  = 200 * time.Millisecond
 	leaderTTL   = 4 * time.Second
 	leaderTouch = time.Second
@@ -100,6 +98,8 @@
 	finals      map[string]bookkeeping.FinalRecord
 	budget      bucket
 
+	readPause time.Duration // between two reads of the changes; twice that between two that questions ask for
+
 	syncWaits  []func(error) // questions that wait for the book to be as new as they are
 	syncing    bool
 	syncAt     time.Duration
@@ -133,6 +133,8 @@
 	n.blockLease = c.Options.BlockLease(c.Settings.Cluster.Workers)
 	n.authority = c.Settings.Cluster.Workers.Authority()
 	n.finals = map[string]bookkeeping.FinalRecord{}
+	// All controllers together read with a quarter of the requests allowed.
+	n.readPause = max(20*time.Millisecond, time.Duration(4*float64(len(n.nodes))/c.Settings.Cluster.State.RPS*float64(time.Second)))
 	n.budget = newBucket(c.Settings.Cluster.State.WriteRPS / 4)
 	return n
 }
@@ -283,7 +285,7 @@
 		}
 		// Changes come one by one under load; gathering them for a moment keeps
 		// the reads of all controllers far below what the service allows.
-		if pause := sent + followPause - n.now(); pause > 0 && n.ready {
+		if pause := sent + n.readPause - n.now(); pause > 0 && n.ready {
 			n.later(pause, func() { n.follow(upTo, 0) })
 			return
 		}
@@ -294,6 +296,12 @@
 // takeIn puts changes into the book that were asked for at a time.
 func (n *Node) takeIn(c protocol.Changes, sent time.Duration) {
 	for _, e := range c.Events {
+		// Two reads can be under way at once, and the later one may be answered
+		// first. What the other then brings is old news: a key that it puts may
+		// have been removed since, and nothing else would tell.
+		if e.Version <= n.revision {
+			continue
+		}
 		if e.Put != "" {
 			n.apply(e.Put, e.Value, e.Version)
 		} else {
@@ -321,7 +329,7 @@
 func (n *Node) readChanges() {
 	era, sent := n.era, n.now()
 	waits := n.syncWaits
-	n.syncWaits, n.syncing, n.syncWanted, n.syncAt = nil, true, false, sent+syncPause
+	n.syncWaits, n.syncing, n.syncWanted, n.syncAt = nil, true, false, sent+2*n.readPause
 	n.State.Follow(bookkeeping.Prefix, n.revision, 0, func(c protocol.Changes, err error) {
 		if era != n.era || n.stopped {
 			for _, f := range waits {
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -147,7 +147,7 @@
 	boot := s.types[p.typ].BootS
 	horizon := boot * s.patience
 	if s.slack != nil {
-		horizon = min(horizon, max(boot, s.slack(d.job)))
+		horizon = min(horizon, 0.6*max(boot, s.slack(d.job)))
 	}
 	part := 0.0 // of a task that a machine has time for beyond whole ones: few have time for just whole ones
 	for _, x := range s.supply {
