--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -281,3 +281,86 @@
 		t.Error("an empty block of an earlier term stays")
 	}
 }
+
+// A copy of a report that comes long after it was sent renews no lease: nobody
+// waits for the answer, and the machine may be gone.
+func TestCopiesRenewNothing(t *testing.T) {
+	b := newBench(t)
+	b.report(5, grantToken)
+	answered := b.holding().answered
+	b.now += workerPatience + time.Second
+	b.fresh()
+	if a := b.report(5, grantToken); a.Status != 503 {
+		t.Errorf("status %d to a late copy", a.Status)
+	}
+	if a := b.report(3, grantToken); a.Status != 503 || b.holding().answered != answered {
+		t.Errorf("status %d to an older one, answered at %s", a.Status, b.holding().answered)
+	}
+	if a := b.report(6, grantToken); a.Status != 200 || b.holding().answered != b.now {
+		t.Errorf("status %d to a new one", a.Status)
+	}
+}
+
+// A start that was sent and never seen is over once the worker's session has
+// moved on: its lease has ended everything, and commands name their session.
+func TestNewSessionEndsStarts(t *testing.T) {
+	b := newBench(t)
+	b.report(1, grantToken)
+	b.n.hold.pass()
+	x := b.holding()
+	for _, a := range x.attempts {
+		b.apply(bookkeeping.IntentKey(firstPage), bookkeeping.IntentPage{"run-1": {bookkeeping.IntentEntry(0, "m-1", a.try)}})
+	}
+	if cmds := b.report(2, grantToken).Body.(protocol.Orders).Commands; len(cmds) != 1 {
+		t.Fatalf("orders: %v", cmds)
+	}
+	b.report(3, grantToken)
+	if b.on() != 1 {
+		t.Fatal("absence alone ended a start that may be on its way")
+	}
+	r := &protocol.Report{Machine: "m-1", Address: "w", Type: "small", Zone: "z", Session: 2, Seq: 4, Token: grantToken}
+	b.n.hold.report(x, r, true)
+	if b.on() != 0 {
+		t.Error("a new session did not end it")
+	}
+}
+
+// A process that is back at once does not act under the grant of its former self.
+func TestFormerIncarnationHoldsNothing(t *testing.T) {
+	b := newBench(t)
+	b.apply(bookkeeping.GrantKey(0), bookkeeping.GrantRecord{Node: "a", Incarnation: b.n.incarnation - 1, Token: grantToken})
+	if b.n.holds(0) {
+		t.Error("it holds what its former self was granted")
+	}
+}
+
+// listed is a cloud that only lists.
+type listed []protocol.CloudMachine
+
+func (l listed) Catalogue(func(protocol.Catalogue, error))      {}
+func (l listed) Rent(protocol.Rent, func([]string, error))      {}
+func (l listed) Delete([]string, func(error))                   {}
+func (l listed) List(done func([]protocol.CloudMachine, error)) { done(l, nil) }
+
+// The record of a deleted machine outlives late lists and copies of its reports,
+// so that it is not taken up anew.
+func TestGoneMachinesAreRemembered(t *testing.T) {
+	b := newBench(t)
+	b.n.Cloud = listed{}
+	l := &leadership{n: b.n, term: 5}
+	l.fleet = newFleet(l)
+	b.n.lead = l
+	gone := func(ago time.Duration) map[string]bool {
+		at := b.Wall().Add(-ago).UnixMilli()
+		b.apply(bookkeeping.BlockKey("b"), bookkeeping.BlockRecord{Type: "small", Zone: "z", Machines: []bookkeeping.BlockMachine{{Name: "m-1", Phase: bookkeeping.PhaseGone, GoneMS: at}}})
+		l.fleet.listAt = 0
+		l.fleet.list(b.now)
+		return l.fleet.old
+	}
+	if old := gone(5 * time.Minute); len(old) != 0 {
+		t.Errorf("forgotten after five minutes: %v", old)
+	}
+	if old := gone(time.Hour); !old["m-1"] {
+		t.Error("remembered for ever")
+	}
+}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -19,6 +19,7 @@
 	within bool    // fits into its team's guarantee with the team's earlier jobs
 	starve bool    // nothing of it has begun for too long
 	late   bool    // too late to be of the use its owner hoped for
+	aged   bool    // and has been for long
 	claim  float64 // work left by the time it has waited; the least goes first
 }
 
@@ -27,12 +28,17 @@
 // before those that can't. Among equals it is the work left, weighed against
 // the time waited: where not all can be in time, small jobs let more of them be,
 // and no large one waits for ever.
-func order(list []waiting) {
+//
+// Where more is asked for than can be done, work that is late would wait for
+// ever behind what is not, or all would be late if it went first. So what has
+// been late for long takes turns with the rest, the oldest first.
+func order(list []waiting, agedFirst bool) {
 	slices.SortStableFunc(list, func(a, b waiting) int {
 		return cmp.Or(
 			cmp.Compare(a.job.Rank(), b.job.Rank()),
 			compareBool(b.starve, a.starve),
 			compareBool(b.within, a.within),
+			compareBool(a.aged != agedFirst, b.aged != agedFirst),
 			compareBool(a.late, b.late),
 			cmp.Compare(a.claim, b.claim),
 			cmp.Compare(a.job.AtMS, b.job.AtMS),
@@ -72,13 +78,16 @@
 			last = max(last, j.DeadlineS*o.Times)
 		}
 	}
-	w.late = last > 0 && age+runS(j) > last && age < last+bound
+	w.late = last > 0 && age+runS(j) > last
+	if w.aged = last > 0 && age > last+bound; w.aged {
+		w.claim = 0 // by arrival
+	}
 }
 
 // bound is how long a job may be put behind others of its rank. Work that
-// nothing has begun of by then goes first, and what is late already is no longer
-// last: else large jobs would starve for as long as more is asked for than can
-// be done.
+// nothing has begun of by then goes first, and what has been late for so long
+// takes turns with what is not: else large jobs would starve for as long as more
+// is asked for than can be done.
 const bound = 100.0 // seconds
 
 // unfinished lists the unfinished jobs of the homes held, in the order of arrival.
@@ -130,7 +139,7 @@
 		p.starved = p.starved || w.starve
 		list = append(list, w)
 	}
-	order(list)
+	order(list, h.agedTurn)
 	return list
 }
 
@@ -160,7 +169,8 @@
 	}
 	machines := h.roomy(need, now)
 	promised := map[*holding]*room{} // room that stops under way will leave
-	var failed []*bookkeeping.Job    // jobs for which there is no place; larger ones of their kind need not look
+	placed := false
+	var failed []*bookkeeping.Job // jobs for which there is no place; larger ones of their kind need not look
 	for _, w := range list {
 		if w.job.Kind == protocol.KindGang {
 			h.placeGang(machines, w, promised, now)
@@ -175,6 +185,7 @@
 			}
 			if !hopeless {
 				if x := h.choose(machines, w.job, task, now); x != nil {
+					placed = true
 					h.plan(w.job, task, x, h.nextTry(x), now)
 					continue
 				}
@@ -190,6 +201,9 @@
 			machines = slices.DeleteFunc(machines, func(x *holding) bool { return promised[x] != nil })
 		}
 	}
+	if placed {
+		h.agedTurn = !h.agedTurn
+	}
 }
 
 // harder reports whether a place for a would also be one for b.
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -638,7 +638,7 @@
 			}
 		})
 	}
-	order(list)
+	order(list, false)
 	var out []demand
 	for _, w := range list {
 		j := w.job
