--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -560,7 +560,9 @@
 			continue
 		}
 		slices.SortFunc(jobs, func(a, b *userJob) int { return b.spec.Tasks - a.spec.Tasks })
-		largest := jobs[:max(1, len(jobs)/10)]
+		// The largest tenth, with all that are as large as the last of them.
+		least := jobs[max(1, len(jobs)/10)-1].spec.Tasks
+		largest := slices.DeleteFunc(slices.Clone(jobs), func(j *userJob) bool { return j.spec.Tasks < least })
 		all["largest of "+name] = largest
 		for _, j := range largest {
 			if j.beganAt == 0 && s.now-j.submitted > begin || j.beganAt-j.submitted > begin {
