--- a/deploy/options.hcl
+++ b/deploy/options.hcl
@@ -25,8 +25,7 @@
 # A holder's lease on its machines; 0 derives it from the workers' lease (0 to 600).
 block_lease_s = 0
 # Homes among which the work is split, settled when the cluster first starts; 0
-# makes it one for three controllers and one more for each further controller
-# (0 to 1000).
+# makes it one with up to three controllers and two with more (0 to 1000).
 homes = 0
 # Silence after which a running machine is replaced; 0 derives it from the
 # workers' lease (0 to 3600).
--- a/internal/coordination/grant.go
+++ b/internal/coordination/grant.go
@@ -10,7 +10,7 @@
 	"rockrun/internal/protocol"
 )
 
-// A shard is a set of machines and of teams that have their home there. The
+// A shard is a set of machines; some shards are homes, to which jobs belong. The
 // leader grants each shard to one controller; the record of the grant, on whose
 // version every write of the holder depends, is what makes it exclusive. The
 // block lease that pings renew says how long a holder may use it unheard.
@@ -238,8 +238,8 @@
 
 // homesTick settles once into how many homes the work is split. Machines split
 // among homes can't be packed together, and one controller's sums are simplest,
-// so three controllers have one home; of more, each is a home but the leader's
-// and one in reserve.
+// so three controllers have one home. With more there are two: one for the work
+// that ends and one for services, which need many images in one sight.
 func (l *leadership) homesTick() {
 	n := l.n
 	if n.book.Homes > 0 || l.homing || n.now() < l.homeAt {
