--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -119,7 +119,7 @@
 	ending    []*progress     // all tasks done, waiting to be durable
 	finishing int             // of those, being written
 	tries     uint64
-	agedTurn  bool // work that has been late for long goes first in this pass
+	turn      int // passes that placed something
 	kicked    bool
 	passAt    time.Duration // no pass before
 
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -90,6 +90,10 @@
 // is asked for than can be done.
 const bound = 100.0 // seconds
 
+// agedTurn is in how many passes that place something work that has been late
+// for long goes first once.
+const agedTurn = 3
+
 // unfinished lists the unfinished jobs of the homes held, in the order of arrival.
 func (h *holder) unfinished() []*bookkeeping.Job {
 	n := h.n
@@ -139,7 +143,7 @@
 		p.starved = p.starved || w.starve
 		list = append(list, w)
 	}
-	order(list, h.agedTurn)
+	order(list, h.turn%agedTurn == agedTurn-1)
 	return list
 }
 
@@ -202,7 +206,7 @@
 		}
 	}
 	if placed {
-		h.agedTurn = !h.agedTurn
+		h.turn++
 	}
 }
 
