Homes stay where peers refuse each other; holders that hear no workers are relieved

A holder that gets no answer from the leader now writes a sign of life under the condition of its grants, which extends its block leases as a pong would. Pings tell when machines of each shard last reported; a home whose holder has heard none of its machines for as long as ten reports are due in, while another controller hears them, goes to that one. A home moves from a controller with two to one that has long been well and has none. A leader that could not renew its lease for the lease's length starts nothing any more.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -101,6 +101,12 @@
 	Version uint64
 }
 
+// Beat is a controller's last sign of life in the records.
+type Beat struct {
+	BeatRecord
+	Version uint64
+}
+
 // Team is a team of the settings.
 type Team struct {
 	Name          string
@@ -133,6 +139,7 @@
 	intents map[PageID]*pageOf[intent]
 	done    map[PageID]*pageOf[*Job]
 
+	Beats     map[string]Beat // by controller
 	Leader    LeaderRecord
 	LeaderVer uint64
 	Term      uint64
@@ -144,7 +151,7 @@
 // NewBook makes an empty book for the given teams and number of shards.
 func NewBook(teams []Team, shards int) *Book {
 	b := &Book{
-		Teams: teams, Grants: make([]Grant, shards), Blocks: map[string]*Block{},
+		Teams: teams, Grants: make([]Grant, shards), Blocks: map[string]*Block{}, Beats: map[string]Beat{},
 		intents: map[PageID]*pageOf[intent]{}, done: map[PageID]*pageOf[*Job]{},
 	}
 	for i, t := range teams {
@@ -234,6 +241,14 @@
 			}
 			b.Grants[i] = Grant{r, version}
 		}
+	case strings.HasPrefix(key, preBeat):
+		if node := key[len(preBeat):]; version > b.Beats[node].Version {
+			var r BeatRecord
+			if err := read(&r); err != nil {
+				return err
+			}
+			b.Beats[node] = Beat{r, version}
+		}
 	case strings.HasPrefix(key, preBlock):
 		id := key[len(preBlock):]
 		if old := b.Blocks[id]; old == nil || version > old.Version {
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -25,6 +25,7 @@
 	preIntent = "r/i/"
 	preJob    = "r/j/"
 	preDone   = "r/d/"
+	preBeat   = "r/p/"
 	preFinal  = "f/"
 )
 
@@ -52,6 +53,10 @@
 // JobKey is the key of an unfinished job.
 func JobKey(id string) string { return preJob + id }
 
+// BeatKey is the key under which a controller shows that it is alive while the
+// leader can't hear it.
+func BeatKey(node string) string { return preBeat + node }
+
 // FinalKey is the key of a job that is over.
 func FinalKey(id string) string { return preFinal + id }
 
@@ -76,6 +81,12 @@
 	Term uint64 `json:"term"`
 }
 
+// BeatRecord is a sign of life of a controller that holds homes and that no
+// answer of the leader reaches.
+type BeatRecord struct {
+	Incarnation uint64 `json:"inc"`
+}
+
 // TargetRecord is the sizer's stored target, stamped with the leader's term.
 type TargetRecord struct {
 	Term   uint64   `json:"term"`
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -22,6 +22,8 @@
 	counter    uint64
 
 	peers    map[string]*peerInfo
+	beats    map[string]uint64 // versions of the signs of life taken in
+	movedAt  time.Duration     // when a home was last moved to a controller with less to do
 	granting []bool
 	grantAt  []time.Duration
 	homing   bool
@@ -117,8 +119,12 @@
 		n.lead = &leadership{
 			n: n, term: r.Term, lease: r.Lease, since: now, touched: n.freshAt, freshSince: now,
 			peers:    map[string]*peerInfo{},
+			beats:    map[string]uint64{},
 			granting: make([]bool, n.shards), grantAt: make([]time.Duration, n.shards),
 		}
+		for node, b := range n.book.Beats {
+			n.lead.beats[node] = b.Version // how old they are is not known
+		}
 		n.lead.fleet = newFleet(n.lead)
 		n.Log.Info("leading", "term", r.Term)
 		n.ping()
@@ -174,7 +180,9 @@
 	if now := l.n.now(); now-l.n.freshAt > 2*followWait {
 		l.freshSince = now
 	}
-	if !l.sure() {
+	// One whose lease may have run out starts nothing: another may lead by now,
+	// and while nobody can be elected nothing could be recorded either.
+	if l.n.now()-l.touched > leaderTTL {
 		return
 	}
 	l.grantTick()
--- a/internal/coordination/grant.go
+++ b/internal/coordination/grant.go
@@ -18,7 +18,9 @@
 // peerInfo is what a leader knows of a controller.
 type peerInfo struct {
 	incarnation uint64
+	since       time.Duration // when it was first heard without a gap
 	heard       time.Duration
+	pinged      time.Duration // the same, by a ping: signs of life in the records say no more than that
 	confirmed   time.Duration // last time its block leases were extended
 	stale       time.Duration // how long it had not heard from the state service
 	fresh       bool
@@ -26,6 +28,7 @@
 	shares      uint64
 	kept        bool
 	notes       map[string]protocol.MachineNote
+	hears       []time.Duration // when machines of a shard were last heard there; 0: never
 }
 
 // ping tells the leader about this node. The leader tells itself.
@@ -38,6 +41,13 @@
 		FreshFor: n.now() - n.freshAt, Leaving: n.stopped, Machines: n.hold.notes(),
 		Shares: n.book.SharesVer, Kept: n.hold.keepsShares(),
 	}
+	for _, at := range n.heardFrom {
+		age := time.Duration(-1)
+		if at > 0 {
+			age = n.now() - at
+		}
+		p.Heard = append(p.Heard, age)
+	}
 	for _, name := range slices.Sorted(maps.Keys(n.strangers)) {
 		p.Strangers = append(p.Strangers, n.strangers[name])
 	}
@@ -65,6 +75,72 @@
 			n.leaseUntil[s] = max(n.leaseUntil[s], p.SentAt+n.blockLease)
 		}
 	}
+	n.pongAt = n.now()
+}
+
+// beat shows in the records that this node is alive while the leader does not
+// answer it: where controllers can't reach each other, but all reach the state
+// service, homes stay where they are instead of gathering at the leader. The
+// write depends on the grants of the homes held, so its success extends their
+// block leases as a pong would; the leader counts from when it sees the record.
+func (n *Node) beat() {
+	now := n.now()
+	every := n.blockLease / 2
+	if n.lead != nil || n.book.LeaderVer == 0 || now-n.pongAt < every || now < n.beatAt {
+		return
+	}
+	key := bookkeeping.BeatKey(n.Settings.Node)
+	t := protocol.Txn{
+		If:   []protocol.Cond{{Key: key, Version: n.book.Beats[n.Settings.Node].Version}},
+		Then: []protocol.Op{{Put: key, Value: bookkeeping.Encode(bookkeeping.BeatRecord{Incarnation: n.incarnation})}},
+	}
+	var homes []int
+	for s := range n.book.Homes {
+		if n.holds(s) {
+			homes = append(homes, s)
+			t.If = append(t.If, protocol.Cond{Key: bookkeeping.GrantKey(s), Version: n.book.Grants[s].Version})
+		}
+	}
+	if len(homes) == 0 {
+		return
+	}
+	n.beatAt = now + every
+	n.budget.force(now, 1)
+	era := n.era
+	n.State.Txn(t, func(_ uint64, err error) {
+		if era != n.era {
+			return
+		}
+		if err != nil {
+			n.Log.Debug("no sign of life written", "err", err)
+			n.beatAt = n.now() + n.jitter(retryPause)
+			return
+		}
+		for _, s := range homes {
+			if n.holds(s) {
+				n.leaseUntil[s] = max(n.leaseUntil[s], now+n.blockLease)
+			}
+		}
+	})
+}
+
+// takeBeats takes in signs of life that are new in the records.
+func (l *leadership) takeBeats() {
+	for node, b := range l.n.book.Beats {
+		if b.Version <= l.beats[node] {
+			continue
+		}
+		l.beats[node] = b.Version
+		p := l.peers[node]
+		if p == nil {
+			p = &peerInfo{incarnation: b.Incarnation}
+			l.peers[node] = p
+		}
+		if b.Incarnation >= p.incarnation && !p.left {
+			p.incarnation = b.Incarnation
+			p.heard, p.confirmed, p.stale, p.fresh = l.n.now(), l.n.now(), 0, true
+		}
+	}
 }
 
 // OnPeer answers a message from another controller.
@@ -96,13 +172,22 @@
 	if p.Incarnation < info.incarnation {
 		return &protocol.Pong{} // a late copy from an incarnation that is over
 	}
+	if p.Incarnation > info.incarnation || now-info.heard > aliveFor {
+		info.since = now
+	}
 	info.incarnation = p.Incarnation
-	info.heard, info.fresh = now, p.FreshFor < n.authority/2
+	info.heard, info.pinged, info.fresh = now, now, p.FreshFor < n.authority/2
 	info.left, info.shares, info.kept, info.stale = p.Leaving, p.Shares, p.Kept, p.FreshFor
 	info.notes = make(map[string]protocol.MachineNote, len(p.Machines))
 	for _, m := range p.Machines {
 		info.notes[m.Name] = m
 	}
+	info.hears = make([]time.Duration, len(p.Heard))
+	for s, age := range p.Heard {
+		if age >= 0 {
+			info.hears[s] = now - age
+		}
+	}
 	for i := range p.Strangers {
 		l.fleet.stranger(&p.Strangers[i])
 	}
@@ -142,6 +227,7 @@
 			held[n.book.Grants[s].Node]++
 		}
 	}
+	l.takeBeats()
 	l.homesTick()
 	l.sharesTick()
 	for s := range n.shards {
@@ -163,7 +249,15 @@
 			// The holder has restarted and declared its former self over.
 			to = g.Node
 		case p != nil && p.incarnation == g.Incarnation && now-p.heard < n.blockLease && !l.useless(p):
-			// Alive: re-confirmed by every ping.
+			// Alive: re-confirmed by every ping. But its machines must reach it.
+			if l.mute(s, p) {
+				n.Log.Warn("holder hears nothing of its machines, others do", "shard", s, "holder", g.Node, "term", l.term)
+				to = l.choose(s, held, func(node string) bool { return l.hears(l.peers[node], s) })
+			} else if l.crowded(s, held) {
+				n.Log.Info("home moves to a controller that has none", "shard", s, "holder", g.Node, "term", l.term)
+				to = l.choose(s, held, func(node string) bool { return held[node] == 0 })
+				l.movedAt = now
+			}
 		case now-l.since > n.blockLease && (p == nil || now-p.heard > n.blockLease || now-p.confirmed > n.blockLease):
 			// Neither this leader nor, by the wait, an earlier one has
 			// confirmed it for a whole block lease.
@@ -189,18 +283,72 @@
 	return p.stale > n.blockLease && n.now()-l.freshSince > n.blockLease+2*pingEvery
 }
 
+// mute reports whether the holder of a home has heard nothing of its machines
+// for so long that chance can't be the cause, while another controller hears
+// them: they try the others one after the other and are sent back, until their
+// leases run out. A controller that only workers can't reach looks so, and one
+// whose machines are all gone does not.
+func (l *leadership) mute(shard int, p *peerInfo) bool {
+	n := l.n
+	now := n.now()
+	if !l.work(shard) || shard >= len(p.hears) {
+		return false
+	}
+	seen := 0
+	for name, note := range p.notes {
+		if _, m := n.book.Machines.Find(name); m != nil && m.Shard == shard && note.Seen {
+			seen++
+		}
+	}
+	if seen < 4 {
+		return false
+	}
+	// Ten reports were due in that time, however few machines there are.
+	patience := max(workerPatience, 10*n.Settings.Cluster.Workers.Report()/time.Duration(seen))
+	if now-p.pinged > pingEvery*3 || now-max(p.hears[shard], l.grantAt[shard], l.since) < patience {
+		return false
+	}
+	return slices.ContainsFunc(n.nodes, func(node string) bool { return l.hears(l.peers[node], shard) })
+}
+
+// hears reports whether machines of a shard have lately reported to a controller.
+func (l *leadership) hears(p *peerInfo, shard int) bool {
+	now := l.n.now()
+	return p != nil && now-p.pinged < aliveFor && shard < len(p.hears) && p.hears[shard] > 0 && now-p.hears[shard] < aliveFor
+}
+
+// crowded reports whether a home had better move: its controller has another
+// one too, while one that has long been well has none. After many controllers
+// have ended, all homes are with those that were left.
+func (l *leadership) crowded(shard int, held map[string]int) bool {
+	n := l.n
+	now := n.now()
+	if !l.work(shard) || held[n.book.Grants[shard].Node] < 2 || now-l.movedAt < spreadAfter || now-l.since < spreadAfter {
+		return false
+	}
+	return slices.ContainsFunc(n.nodes, func(node string) bool {
+		p := l.peers[node]
+		return p != nil && held[node] == 0 && p.fresh && now-p.heard < aliveFor && now-p.since > spreadAfter
+	})
+}
+
+// spreadAfter is how long a controller must have been well before a home moves
+// to it, and the least time between two such moves: each costs a handing over.
+const spreadAfter = 15 * time.Second
+
 // work reports whether a shard is a home.
 func (l *leadership) work(shard int) bool { return shard < l.n.book.Homes }
 
-// best chooses a controller for a shard: one that is alive, with the fewest
-// shards that are homes, rather not the leader, which has the fleet to see to.
-func (l *leadership) best(shard int, held map[string]int) string {
+// choose chooses a controller for a shard among those that will do: one that is
+// alive, with the fewest shards that are homes, rather not the leader, which has
+// the fleet to see to.
+func (l *leadership) choose(shard int, held map[string]int, will func(node string) bool) string {
 	n := l.n
 	now := n.now()
 	best, cost := "", 0
 	for i, node := range n.nodes {
 		p := l.peers[node]
-		if p == nil || p.left || now-p.heard >= aliveFor || l.useless(p) {
+		if p == nil || p.left || now-p.heard >= aliveFor || l.useless(p) || !will(node) {
 			continue
 		}
 		c := held[node]*100 + (i+len(n.nodes)-shard)%len(n.nodes)
@@ -217,6 +365,11 @@
 	return best
 }
 
+// best is choose among all.
+func (l *leadership) best(shard int, held map[string]int) string {
+	return l.choose(shard, held, func(string) bool { return true })
+}
+
 func (l *leadership) grant(shard int, node string) {
 	n := l.n
 	g := &n.book.Grants[shard]
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -379,6 +379,7 @@
 		reply(comeBack("machine was given back"))
 		return
 	}
+	n.heardFrom[m.Shard] = n.now()
 	if n.holds(m.Shard) {
 		x := n.hold.machines[m.Name]
 		if x == nil || !n.entitled(m.Shard) || r.Token > x.token {
@@ -675,6 +676,7 @@
 		if r.Machine != x.m.Name || r.Token > x.token {
 			return
 		}
+		n.heardFrom[x.shard] = n.now()
 		stale := !done && r.Session != o.Session
 		h.report(x, r, false)
 		if x.again || stale {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -114,6 +114,9 @@
 	authority  time.Duration
 	leaseUntil []time.Duration // by shard
 	grantedAt  []time.Duration // by shard: when the grant in force was first seen
+	heardFrom  []time.Duration // by shard: when one of its machines last reported here; 0: never
+	pongAt     time.Duration   // when the leader's last answer that counts came
+	beatAt     time.Duration   // no sign of life in the records before
 
 	hold      *holder
 	strangers map[string]protocol.Report
@@ -195,6 +198,8 @@
 	n.claims = map[uint64]bool{}
 	n.leaseUntil = make([]time.Duration, n.shards)
 	n.grantedAt = make([]time.Duration, n.shards)
+	n.heardFrom = make([]time.Duration, n.shards)
+	n.pongAt, n.beatAt = n.now(), 0
 	n.strangers = map[string]protocol.Report{}
 	n.hold = newHolder(n)
 	waits := n.syncWaits
@@ -405,6 +410,7 @@
 		return
 	}
 	n.share()
+	n.beat()
 	n.electionTick()
 	if n.lead != nil {
 		n.lead.tick()
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -697,7 +697,9 @@
 			x.taking = false
 			x.doubtful = true
 		}
-		if !x.ready && l.overdue(m) {
+		// What no holder has spoken of may well be up: a leader that can't hear the
+		// holder must not rent the whole fleet anew.
+		if known && !x.ready && l.overdue(m) {
 			x.taking = false
 		}
 		out = append(out, x)
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -15,6 +15,9 @@
 	Strangers   []Report      // machines that reported to it and that no record names
 	Shares      uint64        // version of the teams' shares that it keeps to
 	Kept        bool          // nothing it holds is above its share
+	// Since a report of one of its machines last came here, by shard, whoever
+	// holds it; below 0: none has.
+	Heard []time.Duration
 }
 
 // MachineNote is a holder's view of one machine.
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -11,6 +12,7 @@
 
 	"golang.org/x/tools/txtar"
 
+	"rockrun/internal/bookkeeping"
 	"rockrun/internal/config"
 	"rockrun/internal/protocol"
 )
@@ -215,6 +217,43 @@
 	return &host{s: s}
 }
 
+// hostNow looks a host up when something happens to it: by name, "leader", or
+// "holder:N", the holder of shard N.
+func (s *sim) hostNow(name string) *host {
+	if name == "leader" {
+		return s.leaderHost()
+	}
+	if shard, ok := strings.CutPrefix(name, "holder:"); ok {
+		n, err := strconv.Atoi(shard)
+		var g bookkeeping.GrantRecord
+		if it := s.store.items[bookkeeping.GrantKey(n)]; err == nil && it != nil && json.Unmarshal(it.Value, &g) == nil {
+			name = g.Node
+		}
+	}
+	for _, h := range s.nodes {
+		if h.name == name {
+			return h
+		}
+	}
+	return s.nodes[0]
+}
+
+// machines picks machines that are up: the one named, or with "some" a share of
+// them all, of a zone where one is given.
+func (s *sim) machines(w *words) func() []*worker {
+	name, zone, share := w.arg(0), w.text("zone", ""), w.num("share", 1)
+	return func() []*worker {
+		var out []*worker
+		for _, r := range s.cloud.rented {
+			x := s.workers[r.Name]
+			if x != nil && (r.Name == name || name == "some" && (zone == "" || zone == r.Zone) && s.rand.Float64() < share) {
+				out = append(out, x)
+			}
+		}
+		return out
+	}
+}
+
 // leaderHost is the host whose process leads now, or the first.
 func (s *sim) leaderHost() *host {
 	for _, h := range s.nodes {
@@ -270,18 +309,20 @@
 			}
 		}
 	case "crash":
-		if w.arg(0) == "leader" {
-			return func() { s.leaderHost().crash() }
-		}
-		if w.arg(0) == "all" {
+		name := w.arg(0)
+		if name == "all" {
 			return func() {
 				for _, h := range s.nodes {
 					h.crash()
 				}
 			}
 		}
-		h := s.host(w, w.arg(0))
-		return h.crash
+		s.known(w, name)
+		return func() { s.hostNow(name).crash() }
+	case "freeze":
+		name, d := w.arg(0), w.duration(w.arg(1))
+		s.known(w, name)
+		return func() { s.hostNow(name).thaw = s.now + d }
 	case "stop":
 		h := s.host(w, w.arg(0))
 		return func() {
@@ -306,11 +347,28 @@
 			}
 		}
 	case "cut":
-		h, what := s.host(w, w.arg(0)), w.arg(1)
-		return func() { h.cut(what, true) }
+		name, what := w.arg(0), w.arg(1)
+		s.known(w, name)
+		return func() {
+			for _, h := range s.hostsNow(name) {
+				h.cut(what, true)
+			}
+		}
 	case "heal":
-		h, what := s.host(w, w.arg(0)), w.arg(1)
-		return func() { h.cut(what, false) }
+		name, what := w.arg(0), w.arg(1)
+		s.known(w, name)
+		return func() {
+			for _, h := range s.hostsNow(name) {
+				h.cut(what, false)
+			}
+		}
+	case "hang":
+		pick, d := s.machines(w), w.duration(w.arg(1))
+		return func() {
+			for _, x := range pick() {
+				x.hang(d)
+			}
+		}
 	case "outage":
 		d := w.duration(w.arg(0))
 		return func() {
@@ -381,8 +439,12 @@
 		n := int(w.num("n", 1))
 		return func() { s.cloud.noBoot = n }
 	case "die":
-		name := w.arg(0)
-		return func() { s.cloud.die(name) }
+		pick := s.machines(w)
+		return func() {
+			for _, x := range pick() {
+				s.cloud.die(x.r.Name)
+			}
+		}
 	case "take":
 		name, notice := w.arg(0), w.duration(w.text("notice", "0s"))
 		return func() {
@@ -393,9 +455,9 @@
 			s.after(notice, func() { s.cloud.delete([]string{name}) })
 		}
 	case "machine-cut":
-		name, d := w.arg(0), w.duration(w.arg(1))
+		pick, d := s.machines(w), w.duration(w.arg(1))
 		return func() {
-			if x := s.workers[name]; x != nil {
+			for _, x := range pick() {
 				x.cut = true
 				s.after(d, x.heal)
 			}
@@ -441,6 +503,21 @@
 	return nil
 }
 
+// known fails unless a name means a host.
+func (s *sim) known(w *words, name string) {
+	if name != "all" && name != "leader" && !strings.HasPrefix(name, "holder:") {
+		s.host(w, name)
+	}
+}
+
+// hostsNow is hostNow with "all" as a name.
+func (s *sim) hostsNow(name string) []*host {
+	if name == "all" {
+		return s.nodes
+	}
+	return []*host{s.hostNow(name)}
+}
+
 // cut takes parts of a host's network away, or gives them back.
 func (h *host) cut(what string, on bool) {
 	if what == "all" || what == "state" {
@@ -522,6 +599,15 @@
 		if most := w.num("most", math.Inf(1)); float64(s.store.writes) > most {
 			return fmt.Sprintf("there were %d", s.store.writes)
 		}
+	case "grants":
+		if most := w.num("most", math.Inf(1)); float64(s.store.grants) > most {
+			return fmt.Sprintf("there were %d", s.store.grants)
+		}
+	case "apart":
+		// No controller holds both homes.
+		if a := s.hostNow("holder:0"); a == s.hostNow("holder:1") {
+			return a.name + " holds both"
+		}
 	case "requests":
 		if most := w.num("most", math.Inf(1)); float64(s.store.requests) > most {
 			return fmt.Sprintf("there were %d", s.store.requests)
--- a/internal/scenario/sim.go
+++ b/internal/scenario/sim.go
@@ -102,9 +102,10 @@
 	s         *sim
 	name      string
 	p         *process
-	noState   bool // the state service refuses it
-	noPeers   bool // it can't reach other controllers, nor they it
-	noWorkers bool // it can't reach workers, nor they it
+	noState   bool          // the state service refuses it
+	noPeers   bool          // it can't reach other controllers, nor they it
+	noWorkers bool          // it can't reach workers, nor they it
+	thaw      time.Duration // until then the process stands still; what comes meanwhile is worked off afterwards
 }
 
 // process is one run of the program.
@@ -139,13 +140,20 @@
 	}
 }
 
-// guard makes f do nothing once the process is dead.
+// guard makes f do nothing once the process is dead, and wait while it stands
+// still.
 func (p *process) guard(f func()) func() {
-	return func() {
-		if !p.dead {
+	var run func()
+	run = func() {
+		switch s := p.h.s; {
+		case p.dead:
+		case s.now < p.h.thaw:
+			s.after(p.h.thaw-s.now, run)
+		default:
 			f()
 		}
 	}
+	return run
 }
 
 // Now implements coordination.Clock.
@@ -179,9 +187,15 @@
 				fail()
 				return
 			}
-			to.node.OnPeer(r, func(a protocol.PeerAnswer) {
-				s.after(s.delay(), l.p.guard(func() { done(a, nil) }))
-			})
+			if h.thaw > s.now {
+				fail() // the sender doesn't wait; the message is read all the same
+				done = func(protocol.PeerAnswer, error) {}
+			}
+			to.guard(func() {
+				to.node.OnPeer(r, func(a protocol.PeerAnswer) {
+					s.after(s.delay(), l.p.guard(func() { done(a, nil) }))
+				})
+			})()
 		})
 		return
 	}
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"maps"
+	"path"
 	"slices"
 	"strings"
 	"time"
 
+	"rockrun/internal/bookkeeping"
 	"rockrun/internal/protocol"
 )
 
@@ -21,6 +23,7 @@
 	watches  []*watch
 	outage   bool
 	writes   int     // puts and removals carried out or refused by a condition
+	grants   int     // grants that were carried out
 	requests int     // all calls
 	tokens   float64 // writes that may be made now
 	tokensAt time.Duration
@@ -138,6 +141,9 @@
 		if op.Put != "" {
 			st.items[op.Put] = &protocol.Item{Key: op.Put, Value: op.Value, Version: st.revision, Lease: op.Lease}
 			st.record(protocol.Event{Put: op.Put, Value: op.Value, Version: st.revision})
+			if path.Dir(op.Put) == path.Dir(bookkeeping.GrantKey(0)) {
+				st.grants++
+			}
 		} else if st.items[op.Delete] != nil {
 			delete(st.items, op.Delete)
 			st.record(protocol.Event{Remove: op.Delete, Version: st.revision})
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -31,6 +31,7 @@
 	last    time.Duration // last report
 	dirty   bool
 	warn    time.Duration // when the cloud takes it; 0: not announced
+	wakes   time.Duration // until then the machine hangs
 }
 
 // onWorker is an attempt on a worker.
@@ -47,6 +48,26 @@
 	w.watchLease()
 }
 
+// hangs reports whether the machine stands still now.
+func (w *worker) hangs() bool { return w.s.now < w.wakes }
+
+// hang lets the machine stand still for a while: its tasks don't go on, it says
+// nothing, and what is sent to it is read afterwards.
+func (w *worker) hang(d time.Duration) {
+	w.wakes = w.s.now + d
+	w.s.after(d, func() {
+		if w.dead || w.hangs() {
+			return
+		}
+		w.flying = false
+		if w.s.now >= w.leaseAt+w.s.cluster.Workers.Lease() {
+			w.restart()
+		}
+		w.heal()
+		w.report()
+	})
+}
+
 func (w *worker) kill() {
 	w.dead = true
 	for _, t := range w.tasks {
@@ -62,6 +83,10 @@
 		if w.dead {
 			return
 		}
+		if w.hangs() {
+			w.s.after(w.wakes-w.s.now, w.watchLease) // it finds out when it goes on
+			return
+		}
 		if w.s.now >= w.leaseAt+lease {
 			w.restart()
 		}
@@ -96,7 +121,7 @@
 
 // report sends a report and sees to the next one.
 func (w *worker) report() {
-	if w.dead || w.flying {
+	if w.dead || w.flying || w.hangs() {
 		return
 	}
 	w.flying, w.dirty, w.last = true, false, w.s.now
@@ -104,8 +129,8 @@
 	r := w.status()
 	answered := false
 	finish := func(a coordination.Answer, ok bool) {
-		if answered || w.dead {
-			return
+		if answered || w.dead || w.hangs() || w.s.now-sent > 4*time.Second+time.Millisecond {
+			return // it waits no longer for this answer
 		}
 		answered = true
 		w.flying = false
@@ -157,13 +182,15 @@
 		if p.dead || h.noWorkers {
 			return
 		}
-		p.node.OnReport(r, func(a coordination.Answer) {
-			w.s.after(w.s.delay(), func() {
-				if !w.cut && !w.deaf && !h.noWorkers {
-					finish(a, true)
-				}
+		p.guard(func() {
+			p.node.OnReport(r, func(a coordination.Answer) {
+				w.s.after(w.s.delay(), func() {
+					if !w.cut && !w.deaf && !h.noWorkers {
+						finish(a, true)
+					}
+				})
 			})
-		})
+		})()
 	}
 	w.s.copyReport(r)
 	if w.cut {
@@ -182,8 +209,8 @@
 	late := s.copyLeast + time.Duration(s.rand.Int64N(int64(s.copyMost-s.copyLeast)+1))
 	h := s.nodes[s.rand.IntN(len(s.nodes))]
 	s.after(late, func() {
-		if h.p != nil && !h.noWorkers {
-			h.p.node.OnReport(r, func(coordination.Answer) {})
+		if p := h.p; p != nil && !h.noWorkers {
+			p.guard(func() { p.node.OnReport(r, func(coordination.Answer) {}) })()
 		}
 	})
 }
@@ -261,11 +288,17 @@
 func (w *worker) timer(t *onWorker, s float64, f func()) {
 	t.round++
 	round, session := t.round, w.session
-	w.s.after(time.Duration(s*float64(time.Second)), func() {
-		if !w.dead && t.round == round && session == w.session {
+	var run func()
+	run = func() {
+		switch {
+		case w.dead || t.round != round || session != w.session:
+		case w.hangs():
+			w.s.after(w.wakes-w.s.now+time.Millisecond, run)
+		default:
 			f()
 		}
-	})
+	}
+	w.s.after(time.Duration(s*float64(time.Second)), run)
 }
 
 func (w *worker) state(t *onWorker, state string) {
@@ -347,13 +380,13 @@
 		if l.p.h.noWorkers {
 			break
 		}
-		if w.cut {
+		if w.cut || w.hangs() {
 			// Held back, and carried out once the cut ends.
 			w.held = append(w.held, func() { w.direct(o) })
 			break
 		}
 		s.after(s.delay(), func() {
-			if w.dead || w.cut || w.deaf {
+			if w.dead || w.cut || w.deaf || w.hangs() {
 				fail()
 				return
 			}
