A budget of sockets by kind; connections are closed after answers above a mark

The limit is split: state service, cloud and peers first, of the rest a quarter for commands and the remainder for the public address. Above three quarters of a part its connections are closed after the answer; reports that are not answered 200 always, as their worker goes elsewhere. Connections to workers stay open idle for 2 s instead of 20. Counts are in the metrics.

--- a/cmd/rockrun/main.go
+++ b/cmd/rockrun/main.go
@@ -87,13 +87,18 @@
 	}
 
 	loop := transport.NewLoop()
-	sockets := s.Cluster.Limits.Sockets
-	if sockets == 0 {
-		sockets = 4096
+	limit := s.Cluster.Limits.Sockets
+	if limit == 0 {
+		limit = 4096
 	}
-	outside := transport.NewClient(64)
-	toWorkers := transport.NewClient(2)
-	back := transport.NewBackend(loop,
+	sockets := transport.SplitSockets(limit, len(s.Siblings))
+	if limit < 256 {
+		log.Warn("few sockets: reports and commands will wait", "fd_limit", limit)
+	}
+	outside := transport.NewClient(sockets.State, sockets.State+sockets.Cloud, 20*time.Second)
+	// Commands come seldom and to many machines: a connection is soon closed.
+	toWorkers := transport.NewClient(2, sockets.Workers, 2*time.Second)
+	back := transport.NewBackend(loop, sockets,
 		&protocol.StateClient{HTTP: outside, Addr: s.External.State, Timeout: 2 * time.Second},
 		&protocol.CloudClient{HTTP: outside, Addr: s.External.Cloud, Timeout: 5 * time.Second},
 		&protocol.WorkerClient{HTTP: toWorkers, Timeout: 2 * time.Second})
@@ -108,11 +113,14 @@
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	limiter := transport.NewLimiter(4, 200)
-	server := transport.NewServer(loop, node, limiter, transport.NewMetrics(limiter), sockets*3/4)
+	metrics := transport.NewMetrics(limiter)
+	metrics.Connections("workers", toWorkers)
+	metrics.Connections("services", outside)
+	server := transport.NewServer(loop, node, limiter, metrics, sockets.Public)
 
 	go loop.Run()
 	loop.Post(node.Start)
-	go transport.ServePeers(peer, loop, node.OnPeer, log)
+	go transport.ServePeers(peer, sockets.Peers, loop, node.OnPeer, log)
 
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(public) }()
--- a/internal/transport/backend.go
+++ b/internal/transport/backend.go
@@ -20,9 +20,9 @@
 }
 
 // NewBackend bounds the calls under way.
-func NewBackend(loop *Loop, s *protocol.StateClient, c *protocol.CloudClient, w *protocol.WorkerClient) *Backend {
+func NewBackend(loop *Loop, sockets Sockets, s *protocol.StateClient, c *protocol.CloudClient, w *protocol.WorkerClient) *Backend {
 	return &Backend{Loop: loop, StateC: s, CloudC: c, WorkerC: w,
-		state: make(chan struct{}, 64), cloud: make(chan struct{}, 8), workers: make(chan struct{}, 128)}
+		state: make(chan struct{}, sockets.State), cloud: make(chan struct{}, sockets.Cloud), workers: make(chan struct{}, min(sockets.Workers/2, 128))}
 }
 
 // run makes a call on a goroutine of its own and hands its result to the loop.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -11,25 +11,39 @@
 
 // Client makes HTTP requests over pooled connections. It never repeats a
 // request by itself: only the caller knows whether that is harmless.
-type Client struct{ http fasthttp.Client }
+type Client struct {
+	http  fasthttp.Client
+	limit int
+	gauge
+}
 
-// NewClient makes a client with at most perHost connections to any address.
-func NewClient(perHost int) *Client {
-	return &Client{http: fasthttp.Client{
+// NewClient makes a client with at most perHost connections to any address and
+// at most limit to all.
+func NewClient(perHost, limit int, idle time.Duration) *Client {
+	c := &Client{limit: limit}
+	c.http = fasthttp.Client{
 		NoDefaultUserAgentHeader:      true,
 		DisablePathNormalizing:        true,
 		DisableHeaderNamesNormalizing: false,
 		MaxConnsPerHost:               perHost,
-		MaxIdleConnDuration:           20 * time.Second,
+		MaxIdleConnDuration:           idle,
 		MaxIdemponentCallAttempts:     1,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
 			return false, false
 		},
 		MaxConnWaitTimeout: time.Second,
 		Dial: func(addr string) (net.Conn, error) {
-			return net.DialTimeout("tcp4", addr, time.Second)
+			if c.Open() >= limit {
+				return nil, errSockets
+			}
+			conn, err := net.DialTimeout("tcp4", addr, time.Second)
+			if err != nil {
+				return nil, err
+			}
+			return c.track(conn), nil
 		},
-	}}
+	}
+	return c
 }
 
 // Call makes one request. An error means that no answer came.
@@ -43,6 +57,9 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
+	if !keep(c.Open(), c.limit) {
+		req.SetConnectionClose()
+	}
 	err := c.http.DoTimeout(req, resp, timeout)
 	if errors.Is(err, fasthttp.ErrConnectionClosed) && method == fasthttp.MethodGet {
 		// A pooled connection that the other side had closed; a read may be
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -44,4 +44,14 @@
 	return m
 }
 
+// connections exports how many connections of a kind are open.
+func (m *Metrics) connections(kind string, g interface{ Open() int }) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "rockrun_connections", Help: "Open connections, by kind.", ConstLabels: prometheus.Labels{"kind": kind},
+	}, func() float64 { return float64(g.Open()) }))
+}
+
+// Connections exports how many connections a client has open.
+func (m *Metrics) Connections(kind string, c *Client) { m.connections(kind, c) }
+
 func (m *Metrics) serve(c *fiber.Ctx) error { return m.handler(c) }
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -19,15 +19,15 @@
 	peerTimeout = time.Second
 	peerIdle    = 30 * time.Second
 	peerMessage = 4 << 20
-	peerConns   = 64
 )
 
 // PeerHandler answers a message; reply may be called later, once.
 type PeerHandler func(r protocol.PeerRequest, reply func(protocol.PeerAnswer))
 
-// ServePeers accepts connections of other controllers until ln is closed.
-func ServePeers(ln net.Listener, loop *Loop, handle PeerHandler, log *slog.Logger) {
-	slots := make(chan struct{}, peerConns)
+// ServePeers accepts connections of other controllers, at most so many at a time,
+// until ln is closed.
+func ServePeers(ln net.Listener, most int, loop *Loop, handle PeerHandler, log *slog.Logger) {
+	slots := make(chan struct{}, most)
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -26,11 +26,14 @@
 	node    *coordination.Node
 	limiter *Limiter
 	metrics *Metrics
+	sockets int
+	public  *Listener
 }
 
-// NewServer makes the interface of a node.
+// NewServer makes the interface of a node, with at most so many connections.
 func NewServer(loop *Loop, node *coordination.Node, limiter *Limiter, metrics *Metrics, sockets int) *Server {
-	s := &Server{loop: loop, node: node, limiter: limiter, metrics: metrics}
+	s := &Server{loop: loop, node: node, limiter: limiter, metrics: metrics, sockets: sockets, public: &Listener{}}
+	metrics.connections("public", s.public)
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		BodyLimit:             4 * protocol.MaxBody,
@@ -38,7 +41,6 @@
 		ReadTimeout:           75 * time.Second,
 		WriteTimeout:          10 * time.Second,
 		IdleTimeout:           75 * time.Second,
-		ReadBufferSize:        8192,
 		ErrorHandler: func(c *fiber.Ctx, err error) error {
 			status := http.StatusInternalServerError
 			var e *fiber.Error
@@ -51,6 +53,7 @@
 			return send(c, coordination.Answer{Status: status, Body: protocol.Problem{Error: http.StatusText(status)}})
 		},
 	})
+	s.app.Use(s.thin)
 	s.app.Post("/hello", s.hello)
 	s.app.Get("/healthz", s.healthz)
 	s.app.Post("/submissions", s.limited(classSubmit, func(c *fiber.Ctx, reply func(coordination.Answer)) {
@@ -72,11 +75,24 @@
 }
 
 // Serve answers requests until the listener is closed.
-func (s *Server) Serve(ln net.Listener) error { return s.app.Listener(ln) }
+func (s *Server) Serve(ln net.Listener) error {
+	s.public.Listener = ln
+	return s.app.Listener(s.public)
+}
 
 // Shutdown finishes the requests under way.
 func (s *Server) Shutdown(wait time.Duration) error { return s.app.ShutdownWithTimeout(wait) }
 
+// thin closes connections after their answers while there are too many of them:
+// a controller that is left alone gets all workers and users of the others.
+func (s *Server) thin(c *fiber.Ctx) error {
+	err := c.Next()
+	if !keep(s.public.Open(), s.sockets) {
+		c.Context().SetConnectionClose()
+	}
+	return err
+}
+
 // post hands a request to the node, or tells the sender to come back when the
 // node's queue is full.
 func (s *Server) post(reply func(coordination.Answer), f func()) {
@@ -153,6 +169,9 @@
 		s.post(reply, func() { s.node.OnReport(r, reply) })
 	})
 	s.metrics.requests.WithLabelValues("report", strconv.Itoa(a.Status)).Observe(time.Since(began).Seconds())
+	if a.Status != http.StatusOK {
+		c.Context().SetConnectionClose() // it goes to another controller now
+	}
 	return send(c, a)
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -91,7 +91,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		go ServePeers(ln, loop, func(r protocol.PeerRequest, reply func(protocol.PeerAnswer)) {
+		go ServePeers(ln, 8, loop, func(r protocol.PeerRequest, reply func(protocol.PeerAnswer)) {
 			reply(protocol.PeerAnswer{Pong: &protocol.Pong{Leader: true, Term: r.Ping.Term + 1, Shards: []int{2}}})
 		}, quiet)
 		return ln
@@ -138,8 +138,8 @@
 	loop := NewLoop()
 	go loop.Run()
 	defer loop.Close()
-	client := NewClient(4)
-	back := NewBackend(loop,
+	client := NewClient(4, 32, time.Second)
+	back := NewBackend(loop, SplitSockets(200, 0),
 		&protocol.StateClient{HTTP: client, Addr: "127.0.0.1:1", Timeout: time.Second},
 		&protocol.CloudClient{HTTP: client, Addr: "127.0.0.1:1", Timeout: time.Second},
 		&protocol.WorkerClient{HTTP: client, Timeout: time.Second})
