Loose pages of intents: a write carries all that is new, not what fits full pages

Writes were neither slow (6 ms) nor refused.

New attempts go to pages that are at most half full; there may be three times the pages that the entries would fill.

--- a/internal/coordination/desk.go
+++ b/internal/coordination/desk.go
@@ -36,6 +36,7 @@
 	staleAfter = 2 * time.Second
 
 	mostChanges = 4
+	looseness   = 3 // pages for each that the entries would fill
 )
 
 // sheet is what pages of both kinds have in common.
@@ -310,12 +311,25 @@
 		// One that is to be written anyway comes first.
 		return cmp.Or(compareBool(b.dirty, a.dirty), cmp.Compare(a.bytes, b.bytes))
 	})
+	// A write costs the same however much of a page is new. Among full pages each
+	// would carry the few entries that have just ended there, and where writes are
+	// few, new tasks would wait for theirs while machines stand still: so there are
+	// several times the pages that the entries need, and one that is more than
+	// half full is left to empty.
+	bytes := 0
+	for _, p := range d.pages {
+		bytes += p.bytes
+	}
+	enough := 4 + looseness*(bytes/d.room()+1)
 	used := 0
 	for _, a := range d.adds {
 		a.width = len(bookkeeping.IntentEntry(a.task, "", a.try)) + 4
 		for len(free) > 0 && free[0].bytes+free[0].weight(a) > d.room() && len(free[0].attempts) > 0 {
 			free = free[1:]
 		}
+		if len(free) > 0 && !free[0].dirty && free[0].bytes > d.room()/2 && used == 0 && len(d.pages) < enough {
+			free = nil
+		}
 		if len(free) == 0 {
 			if used >= 4 {
 				break
