What replicas wait for is written first; claimed machines yield at once to them

Changes are written by what waits for them. A drain for replicas that wait says so in the record, and the holder stops what is on the machine. A drain gets its stamp when it is written, and a leader ends its term before the tokens of the term run out.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -66,6 +66,7 @@
 	Token   uint64
 	Phase   string
 	Drain   uint64
+	Yield   bool
 	AtMS    int64 // when it was rented
 	GoneMS  int64
 	TypeIdx int
@@ -433,7 +434,7 @@
 		e := &r.Machines[i]
 		m := b.machine(e.Name)
 		m.Block, m.Addr, m.Type, m.Zone, m.Spot, m.Shard, m.Token = id, e.Addr, r.Type, r.Zone, r.Spot, r.Shard, r.Token
-		m.Phase, m.Drain, m.AtMS, m.GoneMS = e.Phase, e.Drain, r.AtMS, e.GoneMS
+		m.Phase, m.Drain, m.Yield, m.AtMS, m.GoneMS = e.Phase, e.Drain, e.Yield, r.AtMS, e.GoneMS
 		if m.Phase == "" {
 			m.Phase = PhaseActive
 		}
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -129,6 +129,7 @@
 	Phase  string `json:"p,omitempty"` // none: active
 	Drain  uint64 `json:"d,omitempty"` // stamp of the drain: the holder's word that the machine is empty names it
 	GoneMS int64  `json:"g,omitempty"` // time of day when it was deleted
+	Yield  bool   `json:"y,omitempty"` // of a drain: what can be started elsewhere is stopped
 }
 
 // HomesRecord says into how many homes the work is split. It is written once.
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -150,13 +150,20 @@
 			l.touched = max(l.touched, now)
 		case errors.Is(err, protocol.ErrNoLease):
 			n.Log.Info("lease lost, no longer leading", "term", l.term)
-			n.lead = nil
+			l.resign()
 		default:
 			l.touchAt = n.now() + n.jitter(retryPause)
 		}
 	})
 }
 
+// resign ends a leadership whose record may still be in the book: it must not be
+// taken up again from there, for the tokens of the term would be given out anew.
+func (l *leadership) resign() {
+	delete(l.n.claims, l.lease)
+	l.n.lead = nil
+}
+
 // sure reports whether the leader may still speak as one: a leader cut off from
 // the state service can't know whether it has been succeeded.
 func (l *leadership) sure() bool { return l.n.now()-l.touched < l.n.authority }
@@ -166,14 +173,19 @@
 	return protocol.Cond{Key: bookkeeping.KeyLeader, Version: l.n.book.LeaderVer}
 }
 
-// termShift is where a token holds the term.
-const termShift = 44
+// Where a token holds the term and, below it, the leader's counter; and how far
+// the counter may go: more than a tick can use is left to it.
+const (
+	termShift    = 44
+	counterShift = 24
+	lastTokens   = 1<<(termShift-counterShift) - 1<<16
+)
 
 // token returns a fencing token above every earlier one: the term in the high
 // bits, then a counter of this leader's, then room for the holder's own steps.
 func (l *leadership) token() uint64 {
 	l.counter++
-	return l.term<<termShift | l.counter<<24
+	return l.term<<termShift | l.counter<<counterShift
 }
 
 func (l *leadership) tick() {
@@ -185,6 +197,13 @@
 	if l.n.now()-l.touched > leaderTTL {
 		return
 	}
+	if l.counter >= lastTokens {
+		// The counter would run into the bits of the next term.
+		l.n.Log.Info("term has no tokens left, no longer leading", "term", l.term)
+		l.resign()
+		l.n.State.EndLease(l.lease, func(error) {})
+		return
+	}
 	l.grantTick()
 	l.fleet.tick()
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -98,7 +98,8 @@
 	m      *bookkeeping.Machine
 	phase  string
 	why    string
-	stamp  uint64 // of a drain that begins
+	stamp  uint64 // of a drain that goes on; one that begins gets its own when it is written
+	yield  bool   // of a drain: its tasks are stopped
 	addr   string
 	forget bool // the entry goes
 	empty  bool // rests on the holder's word that nothing is on the machine
@@ -277,7 +278,7 @@
 // block makes a block of machines to be recorded.
 func (f *fleet) block(rec bookkeeping.BlockRecord) {
 	rec.Token = f.l.token()
-	f.fresh = append(f.fresh, &newBlock{id: strconv.FormatUint(rec.Token>>24, 36), rec: rec})
+	f.fresh = append(f.fresh, &newBlock{id: strconv.FormatUint(rec.Token>>counterShift, 36), rec: rec})
 	for _, e := range rec.Machines {
 		f.coming[e.Name] = true
 	}
@@ -337,11 +338,7 @@
 
 // phase moves a machine on. A return is recorded first and never undone.
 func (f *fleet) phase(m *bookkeeping.Machine, phase, why string) {
-	c := change{m: m, phase: phase, why: why}
-	if phase == bookkeeping.PhaseDrain {
-		c.stamp = f.l.token()
-	}
-	f.change(c)
+	f.change(change{m: m, phase: phase, why: why})
 }
 
 func (f *fleet) change(c change) {
@@ -367,6 +364,15 @@
 			ids = append(ids, id)
 		}
 	}
+	// Where many machines are lost at once there are far more changes than writes,
+	// and what replicas wait for must not queue behind the tidying up.
+	haste := map[string]int{}
+	for _, id := range ids {
+		for _, c := range f.changes[id] {
+			haste[id] = max(haste[id], f.haste(c))
+		}
+	}
+	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(haste[b], haste[a]) })
 	for len(ids) > 0 {
 		batch := ids[:min(most, len(ids))]
 		ids = ids[len(batch):]
@@ -392,6 +398,22 @@
 	}
 }
 
+// haste is how much depends on a change being written soon: replicas that can't
+// start elsewhere or wait for the machine, then other tasks, then only money.
+func (f *fleet) haste(c change) int {
+	_, claimed := f.claims[c.m.Name]
+	lost := c.phase == bookkeeping.PhaseReturning || c.phase == bookkeeping.PhaseGone
+	switch {
+	case lost && f.l.serves(c.m), c.yield:
+		return 3
+	case claimed:
+		return 2
+	case lost && len(c.m.Intents) > 0, c.phase == bookkeeping.PhaseActive:
+		return 1
+	}
+	return 0
+}
+
 // blockOp writes a block, or removes it once it is empty. The transaction that
 // made it may have been sent twice, and a late copy of it demands only that the
 // key does not exist and that its leader still leads: a block that was removed
@@ -447,7 +469,10 @@
 		}
 		if c.phase != "" {
 			n.Log.Info("machine", "name", e.Name, "type", b.Type, "zone", b.Zone, "spot", b.Spot, "phase", c.phase, "why", c.why, "term", f.l.term)
-			e.Phase, e.Drain = c.phase, c.stamp
+			e.Phase, e.Drain, e.Yield = c.phase, c.stamp, c.yield
+			if c.phase == bookkeeping.PhaseDrain && c.stamp == 0 {
+				e.Drain = f.l.token()
+			}
 			if c.phase == bookkeeping.PhaseActive {
 				e.Phase = ""
 			}
@@ -481,7 +506,7 @@
 		}
 		from := f.changed(b, changes)
 		delete(f.changes, k.block)
-		key := bookkeeping.BlockKey(strconv.FormatUint(to.Token>>24, 36))
+		key := bookkeeping.BlockKey(strconv.FormatUint(to.Token>>counterShift, 36))
 		t := protocol.Txn{
 			If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.BlockKey(k.block), Version: b.Version}, {Key: key}, f.grantCond(b.Shard)},
 			Then: []protocol.Op{{Put: key, Value: bookkeeping.Encode(to)}, f.l.blockOp(k.block, from)},
@@ -917,8 +942,29 @@
 	s := &sizing{types: n.book.Types, fits: n.book.Fits}
 	var rooms []*supply // what claimed machines will offer, filled as the demands are gone through
 	room := func(m *bookkeeping.Machine, shard int) *supply {
-		return newSupply(&n.book.Types[m.TypeIdx], pool{m.TypeIdx, m.ZoneIdx, m.Spot}, shard)
+		x := newSupply(&n.book.Types[m.TypeIdx], pool{m.TypeIdx, m.ZoneIdx, m.Spot}, shard)
+		x.m = m
+		return x
+	}
+	// What replicas wait for is taken now, what is kept for those to come may end.
+	urgent := map[*bookkeeping.Machine]bool{}
+	fill := func(x *supply, d *demand) {
+		before := d.count
+		s.fill(x, d)
+		if d.count < before && !d.spare {
+			urgent[x.m] = true
+		}
 	}
+	var begin []*bookkeeping.Machine // drains to be written
+	defer func() {
+		for _, x := range rooms {
+			if slices.Contains(begin, x.m) {
+				f.change(change{m: x.m, phase: bookkeeping.PhaseDrain, why: "claimed by work of a higher rank", yield: urgent[x.m]})
+			} else if urgent[x.m] && x.m.Phase == bookkeeping.PhaseDrain && !x.m.Yield && !f.pending(x.m) {
+				f.change(change{m: x.m, phase: bookkeeping.PhaseDrain, why: "replicas wait for it", stamp: x.m.Drain, yield: true})
+			}
+		}
+	}()
 	for _, name := range slices.Sorted(maps.Keys(f.claims)) {
 		_, m := n.book.Machines.Find(name)
 		if m == nil || m.Phase == bookkeeping.PhaseReturning || !m.There() || m.Shard == f.claims[name] {
@@ -927,7 +973,7 @@
 		}
 		rooms = append(rooms, room(m, f.claims[name]))
 		if m.Phase == bookkeeping.PhaseActive && !f.pending(m) {
-			f.phase(m, bookkeeping.PhaseDrain, "claimed by work of a higher rank") // not written yet
+			begin = append(begin, m) // not written yet
 		}
 	}
 	var sorted []*supply
@@ -938,7 +984,7 @@
 		}
 		d.zones = slices.Clone(d.zones)
 		for _, x := range rooms {
-			s.fill(x, &d)
+			fill(x, &d)
 		}
 		if d.count > 0 && sorted == nil {
 			sorted = slices.SortedStableFunc(slices.Values(list), func(a, b *supply) int {
@@ -955,9 +1001,9 @@
 			}
 			f.claims[x.m.Name] = d.shard
 			n.Log.Info("machine claimed", "name", x.m.Name, "from", x.shard, "for", d.shard, "term", f.l.term)
-			f.phase(x.m, bookkeeping.PhaseDrain, "claimed by work of a higher rank")
+			begin = append(begin, x.m)
 			rooms = append(rooms, room(x.m, d.shard))
-			s.fill(rooms[len(rooms)-1], &d)
+			fill(rooms[len(rooms)-1], &d)
 		}
 	}
 }
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -202,12 +202,19 @@
 			x.base, x.token, x.fenced = base, max(x.token, base), false
 		}
 	})
-	// What a withdrawn or completed job still has on machines is stopped.
+	// What a withdrawn or completed job still has on machines is stopped, and what
+	// is on a machine that replicas of another home wait for.
 	for _, x := range h.list {
 		halt := false
 		for _, a := range x.attempts {
-			if a.job.Over() && a.live() && (!a.stop || a.grace > 0) {
+			switch {
+			case a.job.Over() && a.live() && (!a.stop || a.grace > 0):
 				a.stop, a.grace, a.halted, halt = true, 0, 0, true
+			case x.m.Yield && x.m.Phase == bookkeeping.PhaseDrain && !a.job.Standing() && a.live() && !a.stop:
+				a.stop, a.halted, halt = true, 0, true
+				if a.job.CheckpointS > 0 {
+					a.grace = a.job.SaveS
+				}
 			}
 		}
 		if halt {
--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -364,3 +364,26 @@
 		t.Error("remembered for ever")
 	}
 }
+
+// TestLastToken: a leader ends its term before its tokens run into the next
+// one's, and does not take the term up again while its record is still there.
+func TestLastToken(t *testing.T) {
+	b := newBench(t)
+	b.n.claims[7] = true
+	b.apply(bookkeeping.KeyLeader, bookkeeping.LeaderRecord{Node: "a", Incarnation: b.n.incarnation, Term: 5, Lease: 7})
+	b.n.changed(true)
+	l := b.n.lead
+	if l == nil {
+		t.Fatal("not leading")
+	}
+	l.counter = lastTokens - 1
+	if top := l.token(); top>>termShift != 5 {
+		t.Errorf("token %x is not of term 5", top)
+	}
+	l.touched = b.now
+	l.tick()
+	b.n.changed(true)
+	if b.n.lead != nil {
+		t.Error("leads on without tokens")
+	}
+}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -231,7 +231,7 @@
 // in the high bits, a counter of this holder's in the low ones.
 func (h *holder) nextTry(x *holding) uint64 {
 	h.tries++
-	return h.n.book.Grants[x.shard].Token>>24<<24 | h.tries&(1<<24-1)
+	return h.n.book.Grants[x.shard].Token>>counterShift<<counterShift | h.tries&(1<<counterShift-1)
 }
 
 // plan makes a new attempt at a task.
