Room for replicas of a cut-off zone is made while they still run

A change of the holder hid the cut: machines just taken over counted as heard.

A zone counts as cut off by the machines that have been heard, one overdue report after the other; its replicas run until 2 s before their lease is out, and what their shapes need elsewhere is claimed at once, with yield. A page that names a draining machine's ended tasks is written at once.

--- a/internal/coordination/desk.go
+++ b/internal/coordination/desk.go
@@ -151,6 +151,9 @@
 	if p.dirtyAt == 0 {
 		p.dirtyAt = now
 	}
+	if a.on.m.Phase == bookkeeping.PhaseDrain {
+		p.dirty = true // the machine goes on only once no record names it
+	}
 }
 
 // size is at least what a chunk takes of a page.
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -522,6 +522,7 @@
 	n := f.l.n
 	waits := f.blockedSince != 0
 	silence := n.Options.Silence(n.Settings.Cluster.Workers)
+	lease := n.Settings.Cluster.Workers.Lease()
 	report := n.Settings.Cluster.Workers.Report()
 	deaf, held := map[int]int{}, map[int]int{}
 	quiet, up := map[int]int{}, map[int]int{}
@@ -532,11 +533,15 @@
 			if known && note.Deaf {
 				deaf[m.Shard]++
 			}
-			if known && (note.Seen || note.Tasks > 0) {
+			// What its holder has only just taken over and not heard yet tells
+			// nothing either way.
+			switch {
+			case !known || !note.Seen && note.Tasks == 0:
+			case note.Silent > f.l.quiet():
+				up[m.ZoneIdx]++
+				quiet[m.ZoneIdx]++
+			case note.Seen:
 				up[m.ZoneIdx]++
-				if note.Silent > 2*report {
-					quiet[m.ZoneIdx]++
-				}
 			}
 		}
 	})
@@ -575,10 +580,12 @@
 			f.phase(m, bookkeeping.PhaseReturning, "no longer listed")
 		case f.failed[m.Name]:
 			f.phase(m, bookkeeping.PhaseReturning, "failed")
-		case known && f.cutOff[m.ZoneIdx] && (note.Seen || note.Tasks > 0) && note.Silent < 4*n.Settings.Cluster.Workers.Lease() && !f.l.serves(m):
+		case known && f.cutOff[m.ZoneIdx] && (note.Seen || note.Tasks > 0) && note.Silent < 4*lease && (!f.l.serves(m) || note.Silent < lease-workerPatience/2):
 			// Most of the zone is silent: it is cut off, and its machines are of
 			// use again as soon as it is back, sooner than any rented there
-			// instead. Only replicas must be free to start elsewhere at once.
+			// instead. Replicas there run until their lease is nearly out, and
+			// room elsewhere is made for them meanwhile; then they must be free to
+			// start there at once.
 		case known && note.Seen && note.Silent > silence:
 			// Lost or hanging: the deletion's answer settles its tasks.
 			f.phase(m, bookkeeping.PhaseReturning, "silent")
@@ -610,6 +617,13 @@
 	})
 }
 
+// quiet is how long a machine that is well and can be heard says nothing at most,
+// and a little more. One that does may have had a report lost; most of a zone's
+// have not.
+func (l *leadership) quiet() time.Duration {
+	return l.n.Settings.Cluster.Workers.Report()*5/4 + 2*time.Second
+}
+
 // serves reports whether replicas may be on a machine.
 func (l *leadership) serves(m *bookkeeping.Machine) bool {
 	for ref := range m.Intents {
@@ -951,7 +965,7 @@
 	fill := func(x *supply, d *demand) {
 		before := d.count
 		s.fill(x, d)
-		if d.count < before && !d.spare {
+		if d.count < before && (!d.spare || d.lost > 0) {
 			urgent[x.m] = true
 		}
 	}
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -25,6 +25,7 @@
 	count int
 	zones []int // how many more may be in a zone, by index; nil: no bound
 	spare bool  // room to be kept, for work that has not come yet
+	lost  int   // of those, replicas in a zone that is cut off: their leases run out
 }
 
 // zone is how many of the tasks may go to a zone.
@@ -479,7 +480,11 @@
 		}
 		for _, ref := range refs(x.m.Intents) {
 			if j := n.book.Jobs.Get(ref.Job); !j.Over() && j.Standing() && j.Home >= 0 {
-				shapes = append(shapes, demand{job: j, shard: j.Home, count: 1})
+				d := demand{job: j, shard: j.Home, count: 1}
+				if l.fleet.cutOff[x.zone] {
+					d.lost = 1
+				}
+				shapes = append(shapes, d)
 			}
 		}
 	}
@@ -554,6 +559,7 @@
 		k := shapeOf(d)
 		if i, ok := at[k]; ok {
 			out[i].count += d.count
+			out[i].lost += d.lost
 			continue
 		}
 		at[k] = len(out)
@@ -693,7 +699,11 @@
 		if !x.ready {
 			x.bootLeft = max(0, t.BootS-l.age(m).Seconds())
 		}
-		if known && (note.Faulty || note.Leaves || note.Deaf || (note.Seen || note.Tasks > 0) && note.Silent > l.n.Settings.Cluster.Workers.Report()*3) {
+		patience := 3 * n.Settings.Cluster.Workers.Report()
+		if l.fleet.cutOff[m.ZoneIdx] {
+			patience = l.quiet()
+		}
+		if known && (note.Faulty || note.Leaves || note.Deaf || (note.Seen || note.Tasks > 0) && note.Silent > patience) {
 			x.taking = false
 			x.doubtful = true
 		}
