--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -22,8 +22,9 @@
 	counter    uint64
 
 	peers    map[string]*peerInfo
-	beats    map[string]uint64 // versions of the signs of life taken in
-	movedAt  time.Duration     // when a home was last moved to a controller with less to do
+	lastSeen map[string]protocol.MachineNote // by machine: what a holder that had seen it last said
+	beats    map[string]uint64               // versions of the signs of life taken in
+	movedAt  time.Duration                   // when a home was last moved to a controller with less to do
 	granting []bool
 	grantAt  []time.Duration
 	homing   bool
@@ -120,6 +121,7 @@
 			n: n, term: r.Term, lease: r.Lease, since: now, touched: n.freshAt, freshSince: now,
 			peers:    map[string]*peerInfo{},
 			beats:    map[string]uint64{},
+			lastSeen: map[string]protocol.MachineNote{},
 			granting: make([]bool, n.shards), grantAt: make([]time.Duration, n.shards),
 		}
 		for node, b := range n.book.Beats {
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -558,6 +558,9 @@
 		}
 	}
 	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
+		if m.Phase == bookkeeping.PhaseGone {
+			delete(f.l.lastSeen, m.Name)
+		}
 		if m.Block != "" && m.Phase == bookkeeping.PhaseGone && f.old[m.Name] {
 			f.change(change{m: m, forget: true})
 			return
--- a/internal/coordination/grant.go
+++ b/internal/coordination/grant.go
@@ -180,6 +180,13 @@
 	info.left, info.shares, info.kept, info.stale = p.Leaving, p.Shares, p.Kept, p.FreshFor
 	info.notes = make(map[string]protocol.MachineNote, len(p.Machines))
 	for _, m := range p.Machines {
+		if m.Seen {
+			l.lastSeen[m.Name] = m
+		} else if last, ok := l.lastSeen[m.Name]; ok && last.Silent > l.quiet() {
+			// It was silent before its holder changed, and goes on being so: the
+			// new holder must not begin to wait anew.
+			m.Silent += last.Silent
+		}
 		info.notes[m.Name] = m
 	}
 	info.hears = make([]time.Duration, len(p.Heard))
