--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -517,6 +517,17 @@
 			return fmt.Errorf("intents of %q", name)
 		}
 		for _, e := range entries {
+			if strings.HasPrefix(e, headMark) {
+				team, amounts, err := splitHead(e)
+				if err != nil {
+					return err
+				}
+				if j := b.job(name); j.Over() && j.TeamIdx < 0 {
+					j.Team, j.TeamIdx = team, b.TeamNames.Lookup(team)
+					j.CPUs, j.GPUs, j.MemoryGB = amounts[0], amounts[1], amounts[2]
+				}
+				continue
+			}
 			task, machine, try, err := splitIntent(e)
 			if err != nil {
 				return err
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -142,9 +142,36 @@
 type SharesRecord map[string][]int
 
 // IntentPage lists tasks that may be on machines, by job: each entry is the
-// task's number, the machine and the attempt.
+// task's number, the machine and the attempt. One of each job's says instead what a
+// task takes, see IntentHead.
 type IntentPage map[string][]string
 
+// headMark begins an entry that is an IntentHead.
+const headMark = "@"
+
+// IntentHead says in a page whose quota a job's tasks count against and how much
+// each takes. The job's own record is gone once it is withdrawn, while its tasks
+// may still be on machines that nobody can reach.
+func IntentHead(team string, cpus, gpus, memoryGB float64) string {
+	number := func(v float64) string { return " " + strconv.FormatFloat(v, 'g', -1, 64) }
+	return headMark + team + number(cpus) + number(gpus) + number(memoryGB)
+}
+
+// splitHead takes an IntentHead apart.
+func splitHead(entry string) (team string, amounts [3]float64, err error) {
+	parts := strings.Split(strings.TrimPrefix(entry, headMark), " ")
+	if len(parts) < 4 {
+		return "", amounts, fmt.Errorf("intent head %q", entry)
+	}
+	first := len(parts) - 3 // a team's name may hold spaces
+	for i := range amounts {
+		if amounts[i], err = strconv.ParseFloat(parts[first+i], 64); err != nil {
+			return "", amounts, fmt.Errorf("intent head %q: %w", entry, err)
+		}
+	}
+	return strings.Join(parts[:first], " "), amounts, nil
+}
+
 // IntentEntry encodes an entry of an IntentPage.
 func IntentEntry(task int, machine string, attempt uint64) string {
 	return strconv.Itoa(task) + " " + machine + " " + strconv.FormatUint(attempt, 36)
--- a/internal/coordination/desk.go
+++ b/internal/coordination/desk.go
@@ -123,11 +123,15 @@
 func (p *page) weight(a *attempt) int {
 	w := len(a.on.m.Name) + a.width
 	if p.jobs[a.job] == 0 {
-		w += len(a.job.ID) + 8
+		w += len(a.job.ID) + 8 + len(intentHead(a.job)) + 3
 	}
 	return w
 }
 
+func intentHead(j *bookkeeping.Job) string {
+	return bookkeeping.IntentHead(j.Team, j.CPUs, j.GPUs, j.MemoryGB)
+}
+
 func (p *page) put(a *attempt) {
 	if a.page != nil {
 		return
@@ -355,6 +359,9 @@
 	for a := range p.attempts {
 		rec[a.job.ID] = append(rec[a.job.ID], bookkeeping.IntentEntry(a.task, a.on.m.Name, a.try))
 	}
+	for j := range p.jobs {
+		rec[j.ID] = append(rec[j.ID], intentHead(j))
+	}
 	for _, entries := range rec {
 		slices.Sort(entries)
 	}
--- a/internal/scenario/cloud.go
+++ b/internal/scenario/cloud.go
@@ -22,6 +22,7 @@
 	next     int
 	asks     map[string][]string
 	outage   bool
+	calls    int
 	lose     float64 // share of answers that are lost, the request being carried out
 	noBoot   int     // so many of the next machines never come up
 }
@@ -146,6 +147,7 @@
 
 func (l cloudLink) call(do func(c *cloud) func(), failed func(error)) {
 	s := l.p.h.s
+	s.cloud.calls++
 	s.after(s.delay(), func() {
 		if s.cloud.outage {
 			s.after(s.delay(), l.p.guard(func() { failed(protocol.ErrNotDone) }))
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -145,6 +145,23 @@
 			add(&script, "%ds slow %s factor=3", at, machine)
 		}
 	}
+	// Of these each day has a few; they come last so that the days above stay the
+	// ones that once found something.
+	for range 3 {
+		at := 10 + r.IntN(220)
+		node := string(rune('a' + r.IntN(3)))
+		switch r.IntN(4) {
+		case 0:
+			add(&script, "%ds freeze %s %ds", at, node, 1+r.IntN(60))
+		case 1:
+			add(&script, "%ds hang some %ds share=0.%d", at, 2+r.IntN(60), 1+r.IntN(9))
+		case 2:
+			add(&script, "%ds cut all peers", at)
+			add(&script, "%ds heal all peers", at+5+r.IntN(50))
+		case 3:
+			add(&script, "%ds machine-cut some %ds zone=%s", at, 5+r.IntN(60), []string{"north", "south"}[r.IntN(2)])
+		}
+	}
 	add(&script, "285s heal a all")
 	add(&script, "285s heal b all")
 	add(&script, "285s heal c all")
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -603,6 +603,10 @@
 		if most := w.num("most", math.Inf(1)); float64(s.store.grants) > most {
 			return fmt.Sprintf("there were %d", s.store.grants)
 		}
+	case "cloud-calls":
+		if most := w.num("most", math.Inf(1)); float64(s.cloud.calls) > most {
+			return fmt.Sprintf("there were %d", s.cloud.calls)
+		}
 	case "apart":
 		// No controller holds both homes.
 		if a := s.hostNow("holder:0"); a == s.hostNow("holder:1") {
