--- a/internal/coordination/desk.go
+++ b/internal/coordination/desk.go
@@ -321,8 +321,8 @@
 	// A write costs the same however much of a page is new. Among full pages each
 	// would carry the few entries that have just ended there, and where writes are
 	// few, new tasks would wait for theirs while machines stand still: so there are
-	// several times the pages that the entries need, and one that is more than
-	// half full is left to empty.
+	// several times the pages that the entries need, and one that is more than a
+	// quarter full is left to empty.
 	bytes := 0
 	for _, p := range d.pages {
 		bytes += p.bytes
@@ -334,7 +334,7 @@
 		for len(free) > 0 && free[0].bytes+free[0].weight(a) > d.room() && len(free[0].attempts) > 0 {
 			free = free[1:]
 		}
-		if len(free) > 0 && !free[0].dirty && free[0].bytes > d.room()/2 && used == 0 && len(d.pages) < enough {
+		if len(free) > 0 && !free[0].dirty && free[0].bytes > d.room()/4 && used == 0 && len(d.pages) < enough {
 			free = nil
 		}
 		if len(free) == 0 {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -425,7 +425,7 @@
 func (n *Node) share() {
 	part := 0.02
 	if n.lead != nil {
-		part += 0.3
+		part += 0.25
 	}
 	for s := range n.shards {
 		switch {
@@ -433,7 +433,7 @@
 		case n.book.Homes == 1:
 			part += 0.5
 		case s == 0:
-			part += 0.35
+			part += 0.4
 		default:
 			part += 0.1 / float64(n.book.Homes-1)
 		}
