--- a/internal/coordination/desk.go
+++ b/internal/coordination/desk.go
@@ -94,14 +94,19 @@
 	// Jobs known before the desk was there are read again, with their pages.
 	for j, p := range h.jobs {
 		if j.Home == shard {
-			for chunk, k := range j.DonePage {
-				d.donePage(k).put(p, chunk)
-			}
+			d.takeUp(p)
 		}
 	}
 	return d
 }
 
+// takeUp puts a job's completed tasks on the pages that name them.
+func (d *desk) takeUp(p *progress) {
+	for chunk, k := range p.job.DonePage {
+		d.donePage(k).put(p, chunk)
+	}
+}
+
 func (d *desk) page(k int) *page {
 	for len(d.pages) <= k {
 		id := bookkeeping.PageID{Shard: d.shard, Page: len(d.pages)}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"net/http"
 	"slices"
 	"time"
 
@@ -357,9 +356,7 @@
 		p = &progress{job: j, done: j.Done.Clone(), doneN: j.DoneN, pages: map[int]*donePage{}}
 		h.jobs[j] = p
 		if d := h.desks[j.Home]; d != nil {
-			for chunk, k := range j.DonePage {
-				d.donePage(k).put(p, chunk)
-			}
+			d.takeUp(p)
 		}
 		if !j.Over() && !j.Standing() && p.doneN >= j.Tasks {
 			h.ending = append(h.ending, p)
@@ -368,345 +365,6 @@
 	return p
 }
 
-// OnReport answers a worker's report.
-func (n *Node) OnReport(r *protocol.Report, reply func(Answer)) {
-	if !n.ready {
-		reply(comeBack("starting"))
-		return
-	}
-	_, m := n.book.Machines.Find(r.Machine)
-	if m == nil || m.Block == "" {
-		if len(n.strangers) < 200 {
-			n.strangers[r.Machine] = *r
-		}
-		reply(comeBack("machine not known yet"))
-		return
-	}
-	if !m.There() || m.Shard < 0 || m.Shard >= n.shards {
-		reply(comeBack("machine was given back"))
-		return
-	}
-	n.heardFrom[m.Shard] = n.now()
-	if n.holds(m.Shard) {
-		x := n.hold.machines[m.Name]
-		if x == nil || !n.entitled(m.Shard) || r.Token > x.token {
-			reply(comeBack("not entitled to this machine now"))
-			return
-		}
-		if !r.Newer(x.session, x.seq) && n.now()-x.heard > workerPatience {
-			// A copy that was held back on its way. Nobody waits for its answer,
-			// and it must not count as the renewal of a lease.
-			reply(comeBack("an old report"))
-			return
-		}
-		n.hold.report(x, r, true)
-		x.answered = n.now()
-		cmds := n.hold.orders(x)
-		reply(Answer{Status: http.StatusOK, Body: protocol.Orders{Token: x.token, Commands: cmds}})
-		if !x.fenced {
-			n.hold.push(x)
-		}
-		return
-	}
-	g := &n.book.Grants[m.Shard]
-	if g.Version == 0 || g.Node == n.Settings.Node {
-		reply(comeBack("no holder yet"))
-		return
-	}
-	n.Log.Debug("redirect", "machine", r.Machine, "to", g.Node)
-	reply(Answer{Status: http.StatusMisdirectedRequest, Body: protocol.Redirect{Boss: g.Node}})
-}
-
-// workerPatience is how long a worker waits for the answer to a report.
-const workerPatience = 4 * time.Second
-
-// report takes in what a worker says. Old news is ignored: held packets can
-// bring reports minutes late. asked is set where the worker waits for an answer;
-// otherwise the report itself answers a command and shows that those get through.
-func (h *holder) report(x *holding, r *protocol.Report, asked bool) {
-	n := h.n
-	now := n.now()
-	if !r.Newer(x.session, x.seq) {
-		return
-	}
-	if x.seq == 0 {
-		x.firstHeard = now
-	}
-	h.listen(x, r, asked)
-	x.session, x.seq, x.heard = r.Session, r.Seq, now
-	x.fenced = r.Token >= x.base
-	if r.Address != "" {
-		x.addr = r.Address
-	}
-	if r.NoticeS != nil {
-		x.notice = now + time.Duration(*r.NoticeS*float64(time.Second))
-	} else {
-		x.notice = 0
-	}
-	x.extras = x.extras[:0]
-	found, news := 0, false
-	for i := range r.Tasks {
-		t := &r.Tasks[i]
-		id, task, err := protocol.SplitTask(t.Task)
-		if err != nil {
-			n.Log.Warn("report names no task", "machine", r.Machine, "task", t.Task)
-			continue
-		}
-		idx, _ := n.book.Jobs.Find(id)
-		ref := bookkeeping.TaskRef{Job: idx, Task: task}
-		a := x.attempts[ref]
-		if idx < 0 || a == nil || a.try != t.Attempt {
-			x.extras = append(x.extras, *t)
-			x.busy = true
-			continue
-		}
-		a.seen = r.Seq
-		found++
-		if !a.live() {
-			continue
-		}
-		switch t.State {
-		case protocol.TaskFetching, protocol.TaskWaiting:
-			a.state = taskFetching
-		case protocol.TaskRunning:
-			if a.state != taskRunning {
-				a.state, a.ran = taskRunning, now
-			}
-		case protocol.TaskSaving:
-			a.state = taskSaving
-		case protocol.TaskEnded:
-			h.outcome(a, t)
-			news = true
-		}
-	}
-	if found < len(x.attempts) {
-		for _, ref := range refs(x.attempts) {
-			a := x.attempts[ref]
-			if a.seen == r.Seq || !a.live() {
-				continue
-			}
-			switch {
-			case a.session != 0 && r.Session > a.session:
-				h.end(a, "session over")
-			case a.state != taskPlanned:
-				// Seen before and not any more: it is over. Only a new session or a
-				// reap of ours does this, and both come after its end.
-				h.end(a, "vanished")
-			case a.inherited && x.fenced, a.stop && a.token > 0 && r.Token > a.token:
-				// Not there, and every start that was ever sent for it is fenced.
-				h.end(a, "never started")
-			default:
-				continue
-			}
-			news = true
-		}
-	}
-	if news || x.busy {
-		h.kick()
-	}
-}
-
-// listen judges from a report whether answers and commands reach the machine. A
-// worker that hears shows a higher token in its next report, new tasks likewise,
-// and its session stays as long as its reports are answered. One that is not so
-// is asked to show a higher token; if it doesn't for several reports, what it
-// runs ends with its lease, and it must not be counted on.
-func (h *holder) listen(x *holding, r *protocol.Report, asked bool) {
-	now := h.n.now()
-	w := h.n.Settings.Cluster.Workers
-	patience := 2*w.Report() + workerPatience
-	if x.probe < x.base {
-		x.probe, x.probeAt = x.base, x.since
-	}
-	odd := r.Session > x.session && x.seq > 0 && now-x.answered < w.Lease()/2
-	for _, a := range x.attempts {
-		odd = odd || a.state == taskPlanned && a.token > 0 && !a.inherited && now-a.sentAt > patience &&
-			!slices.ContainsFunc(r.Tasks, func(t protocol.TaskStatus) bool { return t.Attempt == a.try })
-	}
-	if odd && x.fenced && r.Token >= x.probe && (x.probe == x.base || now-x.probeAt > w.Lease()) {
-		x.token++
-		x.probe, x.probeAt = x.token, now
-	}
-	x.suspect = r.Token < x.probe
-	deaf := x.suspect && asked && now-x.probeAt > patience
-	if deaf && !x.deaf && x.probe == x.base {
-		// It may have come up long after it was taken up; then it has not been
-		// answered yet.
-		deaf = x.seq > 0 && now-x.firstHeard > patience
-	}
-	if deaf && !x.deaf {
-		h.n.Log.Info("machine hears nothing", "machine", x.m.Name, "session", r.Session, "token", r.Token)
-	}
-	x.deaf = deaf
-}
-
-// outcome takes in how a task was reported to have ended.
-func (h *holder) outcome(a *attempt, t *protocol.TaskStatus) {
-	n := h.n
-	x := a.on
-	now := n.now()
-	p := a.prog
-	switch t.Cause {
-	case protocol.CauseDone:
-		x.errors, p.fails, p.failedOn = 0, 0, nil
-		if a.ran > 0 {
-			x.measure(p, (now - a.ran).Seconds())
-		}
-	case protocol.CauseError:
-		p.fails++
-		if p.failedOn == nil {
-			p.failedOn = map[string]bool{}
-		}
-		p.failedOn[x.m.Name] = true
-		// A faulty machine fails whatever it is given; a faulty job fails
-		// wherever it is, and after the second machine the fault is taken to be
-		// the job's. Both are tried again ever more slowly.
-		if len(p.failedOn) < 3 {
-			x.errors++
-			x.avoid = now + time.Duration(min(x.errors, 6))*10*time.Second
-		}
-		p.backoff = now + min(time.Duration(1<<min(p.fails, 6))*250*time.Millisecond, 20*time.Second)
-		n.Log.Info("task failed", "task", t.Task, "machine", x.m.Name, "errors", x.errors, "fails", p.fails)
-	case protocol.CauseFull, protocol.CauseInUse:
-		x.avoid = now + 2*time.Second
-		n.Log.Warn("start refused", "task", t.Task, "machine", x.m.Name, "cause", t.Cause)
-	case protocol.CauseNoSuch:
-		p.backoff = now + 2*time.Second
-		n.Log.Warn("job unknown to worker", "task", t.Task, "machine", x.m.Name)
-	}
-	h.end(a, t.Cause)
-}
-
-// measure compares a completed task's run time with those of its own job: the
-// owners' estimates are too often wrong to tell a slow machine by.
-func (x *holding) measure(p *progress, took float64) {
-	if p.runs >= 2 && p.runSum > 0 {
-		ratio := took / (p.runSum / float64(p.runs))
-		if x.paced == 0 {
-			x.pace = 1
-		}
-		x.pace += (ratio - x.pace) * 0.3
-		x.paced++
-	}
-	p.runs++
-	p.runSum += took
-}
-
-// slow reports whether a machine has shown to be much slower than others.
-func (x *holding) slow() bool { return x.paced >= 4 && x.pace > 1.6 }
-
-// orders works out the difference between what should be on a machine and what
-// its last report showed.
-func (h *holder) orders(x *holding) []protocol.Command {
-	cmds := []protocol.Command{}
-	if !x.fenced || !x.busy {
-		return cmds
-	}
-	now := h.n.now()
-	zero := 0.0
-	reaps := false
-	for _, t := range x.extras {
-		if t.State == protocol.TaskEnded {
-			reaps = true
-			cmds = append(cmds, protocol.Command{Verb: protocol.VerbReap, Task: t.Task, Attempt: t.Attempt})
-		} else {
-			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
-		}
-	}
-	// After a reap the worker has forgotten the attempt, and a start of it that
-	// was repeated or held back on the way would run it again. So a reap always
-	// goes out under a higher token than any start before it.
-	if reaps && x.sent >= x.token {
-		x.token++
-	}
-	list := make([]*attempt, 0, len(x.attempts))
-	for _, a := range x.attempts {
-		list = append(list, a)
-	}
-	slices.SortFunc(list, func(a, b *attempt) int {
-		return cmp.Or(compareBool(b.stop, a.stop), cmp.Compare(a.planned, b.planned), cmp.Compare(a.job.Index, b.job.Index), cmp.Compare(a.task, b.task))
-	})
-	for _, a := range list {
-		name := protocol.TaskName(a.job.ID, a.task)
-		switch {
-		case !a.live():
-		case a.stop:
-			if a.state == taskPlanned && a.token == 0 {
-				h.end(a, "not started") // no start was ever sent
-				continue
-			}
-			if a.state == taskPlanned && a.token >= x.token {
-				x.token = a.token + 1 // so that its absence will prove something
-			}
-			g := a.grace
-			a.halted = now
-			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: name, Attempt: a.try, GraceS: &g})
-		case a.state == taskPlanned && a.durable() && !a.job.Over() && !a.inherited:
-			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStart, Task: name, Attempt: a.try})
-			if a.token == 0 {
-				a.sentAt = now
-			}
-			a.token, a.session = x.token, x.session
-			x.sent = x.token
-		}
-	}
-	return cmds
-}
-
-// push sends a machine its orders at once instead of with its next report.
-func (h *holder) push(x *holding) {
-	n := h.n
-	if x.inFlight {
-		x.again = true
-		return
-	}
-	if !n.entitled(x.shard) || n.now() < x.mute || x.addr == "" || !x.m.There() {
-		return
-	}
-	cmds := h.orders(x)
-	if len(cmds) == 0 && x.fenced {
-		return
-	}
-	x.inFlight, x.again, x.pushed = true, false, n.now()
-	o := protocol.DirectOrders{Token: x.token, Session: x.session, Commands: cmds}
-	n.Workers.Command(x.addr, o, func(r *protocol.Report, done bool, err error) {
-		x.inFlight = false
-		if h.machines[x.m.Name] != x || n.hold != h {
-			return
-		}
-		if err != nil {
-			// Whether it was carried out is open; the next report will tell.
-			n.Log.Debug("no answer to commands", "machine", x.m.Name, "err", err)
-			x.mute = n.now() + n.jitter(time.Second)
-			return
-		}
-		if r.Machine != x.m.Name || r.Token > x.token {
-			return
-		}
-		n.heardFrom[x.shard] = n.now()
-		stale := !done && r.Session != o.Session
-		h.report(x, r, false)
-		if x.again || stale {
-			h.push(x)
-		}
-	})
-}
-
-// unsettled reports whether a machine has tasks that nobody asked for, or a
-// stop that still needs its proof.
-func (h *holder) unsettled(x *holding) bool {
-	// Ended ones are reaped with the next answer or start; that is soon enough.
-	if slices.ContainsFunc(x.extras, func(t protocol.TaskStatus) bool { return t.State != protocol.TaskEnded }) {
-		return true
-	}
-	for _, a := range x.attempts {
-		if a.live() && a.stop && a.state == taskPlanned {
-			return true
-		}
-	}
-	return false
-}
-
 // kick asks for a pass over all that this node holds, soon but once. A pass that
 // took long is followed by a longer pause, so that reports are answered first.
 func (h *holder) kick() {
@@ -790,6 +448,16 @@
 		"saving", states[taskSaving], "ended", states[taskEnded], "pages", len(h.desks[shard].pages), "writes", n.budget.level)
 }
 
+// changing reports whether an attempt is to begin or to end on a machine.
+func (x *holding) changing() bool {
+	for _, a := range x.attempts {
+		if a.live() && (a.stop || a.state == taskPlanned) {
+			return true
+		}
+	}
+	return false
+}
+
 // passPause is the least time between two passes.
 const passPause = 25 * time.Millisecond
 
@@ -814,9 +482,7 @@
 		startable, unsettled := h.startable(x), h.unsettled(x)
 		if startable || unsettled && n.now()-x.pushed > 500*time.Millisecond {
 			h.push(x)
-		} else if !unsettled && len(x.extras) == 0 && !slices.ContainsFunc(slices.Collect(maps.Values(x.attempts)), func(a *attempt) bool {
-			return a.live() && (a.stop || a.state == taskPlanned)
-		}) {
+		} else if !unsettled && len(x.extras) == 0 && !x.changing() {
 			x.busy = false
 		}
 	}
@@ -832,69 +498,6 @@
 	})
 }
 
-// startable reports whether a start waits to be sent that was not sent yet, or
-// an order that has gone unheeded.
-func (h *holder) startable(x *holding) bool {
-	now := h.n.now()
-	for _, a := range x.attempts {
-		if !a.live() {
-			continue
-		}
-		if a.state == taskPlanned && !a.stop && a.token == 0 && a.durable() {
-			return true
-		}
-		if a.stop && (a.halted == 0 || now-a.halted > 2*time.Second && a.state != taskSaving) {
-			return true
-		}
-	}
-	return false
-}
-
-// stops decides which tasks must leave: those of a machine that the cloud takes
-// and which can save in time, and services of machines that go back.
-func (h *holder) stops() {
-	now := h.n.now()
-	wanted := slices.ContainsFunc(h.list, func(x *holding) bool {
-		return x.notice > 0 || x.m.Phase == bookkeeping.PhaseDrain && x.services > 0
-	})
-	if !wanted {
-		return
-	}
-	moving := false
-	machines := h.list
-	for _, x := range machines {
-		for _, a := range x.attempts {
-			left := (x.notice - now).Seconds()
-			if left > 0 && a.state == taskRunning && !a.stop && a.job.CheckpointS > 0 && a.job.SaveS < left && left < a.job.SaveS+3 {
-				a.stop, a.grace, x.busy = true, a.job.SaveS, true
-			}
-			moving = moving || a.live() && a.job.Standing() && (a.stop || a.state != taskRunning)
-		}
-	}
-	// Replicas move one at a time, and only to room that is free now on a machine
-	// that has their image, so that a move costs no more than a stop and a start.
-	for _, x := range machines {
-		if moving || x.m.Phase != bookkeeping.PhaseDrain || !h.n.entitled(x.shard) || !x.fenced {
-			continue
-		}
-		for _, ref := range refs(x.attempts) {
-			a := x.attempts[ref]
-			if a.state != taskRunning || a.stop || !a.job.Standing() {
-				continue
-			}
-			to := h.choose(machines, a.job, a.task, now)
-			if to == nil {
-				continue
-			}
-			if _, cached := to.images[a.job.ImageIdx]; cached {
-				h.n.Log.Info("move", "job", a.job.ID, "task", a.task, "from", x.m.Name, "to", to.m.Name)
-				a.stop, a.grace, moving, x.busy = true, a.job.SaveS, true, true
-				break
-			}
-		}
-	}
-}
-
 const maxFinishing = 8
 
 // finish makes jobs durable whose tasks are all done, and lets completed
--- /dev/null
+++ b/internal/coordination/orders.go
@@ -0,0 +1,185 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rockrun/internal/bookkeeping"
+	"rockrun/internal/protocol"
+)
+
+// orders works out the difference between what should be on a machine and what
+// its last report showed.
+func (h *holder) orders(x *holding) []protocol.Command {
+	cmds := []protocol.Command{}
+	if !x.fenced || !x.busy {
+		return cmds
+	}
+	now := h.n.now()
+	zero := 0.0
+	reaps := false
+	for _, t := range x.extras {
+		if t.State == protocol.TaskEnded {
+			reaps = true
+			cmds = append(cmds, protocol.Command{Verb: protocol.VerbReap, Task: t.Task, Attempt: t.Attempt})
+		} else {
+			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+		}
+	}
+	// After a reap the worker has forgotten the attempt, and a start of it that
+	// was repeated or held back on the way would run it again. So a reap always
+	// goes out under a higher token than any start before it.
+	if reaps && x.sent >= x.token {
+		x.token++
+	}
+	list := make([]*attempt, 0, len(x.attempts))
+	for _, a := range x.attempts {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b *attempt) int {
+		return cmp.Or(compareBool(b.stop, a.stop), cmp.Compare(a.planned, b.planned), cmp.Compare(a.job.Index, b.job.Index), cmp.Compare(a.task, b.task))
+	})
+	for _, a := range list {
+		name := protocol.TaskName(a.job.ID, a.task)
+		switch {
+		case !a.live():
+		case a.stop:
+			if a.state == taskPlanned && a.token == 0 {
+				h.end(a, "not started") // no start was ever sent
+				continue
+			}
+			if a.state == taskPlanned && a.token >= x.token {
+				x.token = a.token + 1 // so that its absence will prove something
+			}
+			g := a.grace
+			a.halted = now
+			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: name, Attempt: a.try, GraceS: &g})
+		case a.state == taskPlanned && a.durable() && !a.job.Over() && !a.inherited:
+			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStart, Task: name, Attempt: a.try})
+			if a.token == 0 {
+				a.sentAt = now
+			}
+			a.token, a.session = x.token, x.session
+			x.sent = x.token
+		}
+	}
+	return cmds
+}
+
+// push sends a machine its orders at once instead of with its next report.
+func (h *holder) push(x *holding) {
+	n := h.n
+	if x.inFlight {
+		x.again = true
+		return
+	}
+	if !n.entitled(x.shard) || n.now() < x.mute || x.addr == "" || !x.m.There() {
+		return
+	}
+	cmds := h.orders(x)
+	if len(cmds) == 0 && x.fenced {
+		return
+	}
+	x.inFlight, x.again, x.pushed = true, false, n.now()
+	o := protocol.DirectOrders{Token: x.token, Session: x.session, Commands: cmds}
+	n.Workers.Command(x.addr, o, func(r *protocol.Report, done bool, err error) {
+		x.inFlight = false
+		if h.machines[x.m.Name] != x || n.hold != h {
+			return
+		}
+		if err != nil {
+			// Whether it was carried out is open; the next report will tell.
+			n.Log.Debug("no answer to commands", "machine", x.m.Name, "err", err)
+			x.mute = n.now() + n.jitter(time.Second)
+			return
+		}
+		if r.Machine != x.m.Name || r.Token > x.token {
+			return
+		}
+		n.heardFrom[x.shard] = n.now()
+		stale := !done && r.Session != o.Session
+		h.report(x, r, false)
+		if x.again || stale {
+			h.push(x)
+		}
+	})
+}
+
+// unsettled reports whether a machine has tasks that nobody asked for, or a
+// stop that still needs its proof.
+func (h *holder) unsettled(x *holding) bool {
+	// Ended ones are reaped with the next answer or start; that is soon enough.
+	if slices.ContainsFunc(x.extras, func(t protocol.TaskStatus) bool { return t.State != protocol.TaskEnded }) {
+		return true
+	}
+	for _, a := range x.attempts {
+		if a.live() && a.stop && a.state == taskPlanned {
+			return true
+		}
+	}
+	return false
+}
+
+// startable reports whether a start waits to be sent that was not sent yet, or
+// an order that has gone unheeded.
+func (h *holder) startable(x *holding) bool {
+	now := h.n.now()
+	for _, a := range x.attempts {
+		if !a.live() {
+			continue
+		}
+		if a.state == taskPlanned && !a.stop && a.token == 0 && a.durable() {
+			return true
+		}
+		if a.stop && (a.halted == 0 || now-a.halted > 2*time.Second && a.state != taskSaving) {
+			return true
+		}
+	}
+	return false
+}
+
+// stops decides which tasks must leave: those of a machine that the cloud takes
+// and which can save in time, and services of machines that go back.
+func (h *holder) stops() {
+	now := h.n.now()
+	wanted := slices.ContainsFunc(h.list, func(x *holding) bool {
+		return x.notice > 0 || x.m.Phase == bookkeeping.PhaseDrain && x.services > 0
+	})
+	if !wanted {
+		return
+	}
+	moving := false
+	machines := h.list
+	for _, x := range machines {
+		for _, a := range x.attempts {
+			left := (x.notice - now).Seconds()
+			if left > 0 && a.state == taskRunning && !a.stop && a.job.CheckpointS > 0 && a.job.SaveS < left && left < a.job.SaveS+3 {
+				a.stop, a.grace, x.busy = true, a.job.SaveS, true
+			}
+			moving = moving || a.live() && a.job.Standing() && (a.stop || a.state != taskRunning)
+		}
+	}
+	// Replicas move one at a time, and only to room that is free now on a machine
+	// that has their image, so that a move costs no more than a stop and a start.
+	for _, x := range machines {
+		if moving || x.m.Phase != bookkeeping.PhaseDrain || !h.n.entitled(x.shard) || !x.fenced {
+			continue
+		}
+		for _, ref := range refs(x.attempts) {
+			a := x.attempts[ref]
+			if a.state != taskRunning || a.stop || !a.job.Standing() {
+				continue
+			}
+			to := h.choose(machines, a.job, a.task, now)
+			if to == nil {
+				continue
+			}
+			if _, cached := to.images[a.job.ImageIdx]; cached {
+				h.n.Log.Info("move", "job", a.job.ID, "task", a.task, "from", x.m.Name, "to", to.m.Name)
+				a.stop, a.grace, moving, x.busy = true, a.job.SaveS, true, true
+				break
+			}
+		}
+	}
+}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -346,20 +346,12 @@
 				h.start()
 			}
 		}
-	case "cut":
-		name, what := w.arg(0), w.arg(1)
+	case "cut", "heal":
+		name, what, on := w.arg(0), w.arg(1), w.verb == "cut"
 		s.known(w, name)
 		return func() {
 			for _, h := range s.hostsNow(name) {
-				h.cut(what, true)
-			}
-		}
-	case "heal":
-		name, what := w.arg(0), w.arg(1)
-		s.known(w, name)
-		return func() {
-			for _, h := range s.hostsNow(name) {
-				h.cut(what, false)
+				h.cut(what, on)
 			}
 		}
 	case "hang":
