The later of two attempts counts, in whichever order their pages are read

After all controllers but two had ended, the new holder read such a page after the one that named the next attempt at the same task on the same machine, took the older for the one that might be running, saw it absent and started the task elsewhere while the later one ran. Full pages were rewritten so often that it had not been seen before.

A lower attempt no longer replaces a higher one. The test fails without it.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -537,7 +537,14 @@
 	}
 	for _, e := range next {
 		b.Jobs.Get(e.ref.Job).intend(e.ref.Task, 1)
+		// A page that is left to empty can name an attempt long after it is over, and
+		// be read after the one that names the next at the same task there. Attempts
+		// rise, so the higher one is the one that may be running: taken for the other,
+		// its task would be started a second time.
 		i := e.m.Intents[e.ref]
+		if i.Try > e.try {
+			continue
+		}
 		if i.Try != e.try {
 			i = Intent{Try: e.try}
 		}
--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -96,3 +96,36 @@
 	}
 	b.Remove(JobKey("run-1"), 12)
 }
+
+// TestLaterAttempt: where two pages name attempts at the same task on the same
+// machine, the later attempt counts, in whichever order the pages are read, and
+// until its own page no longer names it.
+func TestLaterAttempt(t *testing.T) {
+	old, next := PageID{Page: 5}, PageID{Page: 2}
+	for _, order := range [][]PageID{{old, next}, {next, old}} {
+		b := NewBook(nil, 1)
+		apply := func(page PageID, version uint64, entries ...string) {
+			t.Helper()
+			if err := b.Apply(IntentKey(page), Encode(IntentPage{"run-1": entries}), version); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i, page := range order {
+			apply(page, uint64(i+1), IntentEntry(3, "m-1", map[PageID]uint64{old: 7, next: 9}[page]))
+		}
+		_, m := b.Machines.Find("m-1")
+		j, _ := b.Jobs.Find("run-1")
+		ref := TaskRef{Job: j, Task: 3}
+		if got := m.Intents[ref]; got.Try != 9 || got.Page != next.Page {
+			t.Errorf("order %v: %+v", order, got)
+		}
+		apply(old, 8)
+		if got := m.Intents[ref]; got.Try != 9 {
+			t.Errorf("order %v, after the older is gone: %+v", order, got)
+		}
+		apply(next, 9)
+		if got, ok := m.Intents[ref]; ok {
+			t.Errorf("order %v, after both are gone: %+v", order, got)
+		}
+	}
+}
