Withdrawn tasks stop with every renewing answer; controllers tell each other

Cause, found by reading for the gap: a holder that knows a job to be withdrawn answered a machine it had not fenced yet with 200 and no stop; falling silent next, it left the task the age of the withdrawal, its own bound and a lease: up to 69 s of 60. One that may not renew stopped nothing. Answers now carry stops from the first on, stops need no entitlement, and who confirms tells the others.

Also: a share was raised on a holder's word given before it was granted the home (the word now names grants); a machine that only answers commands was given tasks; an incarnation could fall below a former one when the time of day steps back.

Ruled out: the bound itself (age of knowledge from the sending of the read, lease from the sending of the report). The stand-ins learn mute machines, held commands, slow state answers, odd requests, cancellations at once and at the end.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -30,6 +30,9 @@
 	DonePage map[int]int // page that holds a chunk of the completed tasks
 	Intended map[int]int // tasks that intents name, with how many do
 	Refs     int         // attempts and pages that name it; they keep the index in use
+	// Withdrawn: the controller that confirmed the withdrawal has said so. The
+	// record's removal follows with the changes, however late.
+	Withdrawn bool
 
 	intendedOpen int // intended tasks that are not done
 }
@@ -37,6 +40,16 @@
 // Over reports whether the job is done or withdrawn.
 func (j *Job) Over() bool { return j.Version == 0 }
 
+// Wanted reports whether the job's tasks may run.
+func (j *Job) Wanted() bool { return !j.Over() && !j.Withdrawn }
+
+// Withdraw takes in that a job's withdrawal is durable, ahead of the changes.
+func (b *Book) Withdraw(id string) {
+	if _, j := b.Jobs.Find(id); j != nil {
+		j.Withdrawn = true
+	}
+}
+
 // Open returns how many tasks are neither done nor named by an intent.
 func (j *Job) Open() int { return max(j.Tasks-j.DoneN-j.intendedOpen, 0) }
 
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -201,13 +201,22 @@
 			x.base, x.token, x.fenced = base, max(x.token, base), false
 		}
 	})
-	// What a withdrawn or completed job still has on machines is stopped, and what
-	// is on a machine that replicas of another home wait for.
+	h.halt()
+	for j, p := range h.jobs {
+		if j.Over() && p.attempts == 0 || h.desks[j.Home] == nil {
+			delete(h.jobs, j)
+		}
+	}
+}
+
+// halt stops what a withdrawn or completed job still has on machines, and what is
+// on a machine that replicas of another home wait for.
+func (h *holder) halt() {
 	for _, x := range h.list {
 		halt := false
 		for _, a := range x.attempts {
 			switch {
-			case a.job.Over() && a.live() && (!a.stop || a.grace > 0):
+			case !a.job.Wanted() && a.live() && (!a.stop || a.grace > 0):
 				a.stop, a.grace, a.halted, halt = true, 0, 0, true
 			case x.m.Yield && x.m.Phase == bookkeeping.PhaseDrain && !a.job.Standing() && a.live() && !a.stop:
 				a.stop, a.halted, halt = true, 0, true
@@ -221,11 +230,6 @@
 			h.push(x)
 		}
 	}
-	for j, p := range h.jobs {
-		if j.Over() && p.attempts == 0 || h.desks[j.Home] == nil {
-			delete(h.jobs, j)
-		}
-	}
 }
 
 // adopt takes up a machine. Every recorded intent counts as a task that may be
@@ -240,7 +244,7 @@
 	h.list = slices.Insert(h.list, i, x)
 	for _, ref := range refs(m.Intents) {
 		a := &attempt{job: h.n.book.Jobs.Get(ref.Job), task: ref.Task, try: m.Intents[ref].Try, on: x, token: base - 1, inherited: true, planned: now}
-		a.stop = a.job.Over()
+		a.stop = !a.job.Wanted()
 		h.add(a)
 		h.desks[m.Shard].page(m.Intents[ref].Page).put(a)
 	}
@@ -476,7 +480,13 @@
 		}
 	}
 	for _, x := range h.list {
-		if !x.busy || !n.entitled(x.shard) || !x.fenced {
+		if !x.busy {
+			continue
+		}
+		if !n.entitled(x.shard) || !x.fenced {
+			if h.unheeded(x) {
+				h.push(x)
+			}
 			continue
 		}
 		startable, unsettled := h.startable(x), h.unsettled(x)
@@ -566,7 +576,7 @@
 			continue
 		}
 		note := protocol.MachineNote{
-			Name: x.m.Name, Seen: x.fenced, Silent: now - x.heard, Tasks: len(x.attempts), Faulty: x.errors >= 3 || x.slow(), Leaves: x.notice > 0, Deaf: x.deaf,
+			Name: x.m.Name, Seen: x.fenced, Silent: now - min(x.heard, x.answered), Tasks: len(x.attempts), Faulty: x.errors >= 3 || x.slow(), Leaves: x.notice > 0, Deaf: x.deaf,
 		}
 		if x.m.Addr == "" {
 			note.Addr = x.addr
--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -39,6 +39,15 @@
 }
 func (b *bench) Ask(string, protocol.PeerRequest, func(protocol.PeerAnswer, error)) {}
 
+// peersFunc is a link to other controllers.
+type peersFunc func(string, protocol.PeerRequest, func(protocol.PeerAnswer, error))
+
+func (f peersFunc) Ask(node string, r protocol.PeerRequest, done func(protocol.PeerAnswer, error)) {
+	f(node, r, done)
+}
+
+func settingsSibling(name string) config.Sibling { return config.Sibling{Node: name} }
+
 // firstPage is the first page of the only home.
 var firstPage = bookkeeping.PageID{}
 
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -118,6 +118,7 @@
 	pongAt     time.Duration   // when the leader's last answer that counts came
 	beatAt     time.Duration   // no sign of life in the records before
 
+	notices   map[string]*notices // by controller
 	hold      *holder
 	strangers map[string]protocol.Report
 	stopped   bool
@@ -201,6 +202,7 @@
 	n.heardFrom = make([]time.Duration, n.shards)
 	n.pongAt, n.beatAt = n.now(), 0
 	n.strangers = map[string]protocol.Report{}
+	n.notices = map[string]*notices{}
 	n.hold = newHolder(n)
 	waits := n.syncWaits
 	n.syncWaits, n.syncing, n.syncWanted = nil, false, false
@@ -283,6 +285,7 @@
 		n.takeIn(c, sent)
 		if !n.ready && n.revision >= upTo {
 			n.ready = true
+			n.outnumber()
 			n.Log.Info("records read", "revision", n.revision, "incarnation", n.incarnation)
 		}
 		if len(c.Events) > 0 || n.ready {
@@ -298,6 +301,25 @@
 	})
 }
 
+// outnumber raises the incarnation above all former ones that the records name.
+// The time of day may step back, within its bound, between the end of a process
+// and a start within a fraction of a second.
+func (n *Node) outnumber() {
+	former := n.book.Beats[n.Settings.Node].Incarnation
+	if n.book.Leader.Node == n.Settings.Node {
+		former = max(former, n.book.Leader.Incarnation)
+	}
+	for _, g := range n.book.Grants {
+		if g.Node == n.Settings.Node {
+			former = max(former, g.Incarnation)
+		}
+	}
+	if former >= n.incarnation {
+		n.Log.Warn("time of day has stepped back", "incarnation", n.incarnation, "former", former)
+		n.incarnation = former + 1
+	}
+}
+
 // takeIn puts changes into the book that were asked for at a time.
 func (n *Node) takeIn(c protocol.Changes, sent time.Duration) {
 	for _, e := range c.Events {
@@ -411,6 +433,7 @@
 	}
 	n.share()
 	n.beat()
+	n.spread()
 	n.electionTick()
 	if n.lead != nil {
 		n.lead.tick()
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -9,13 +9,35 @@
 	"rockrun/internal/protocol"
 )
 
+// halts are the stops of all that must leave a machine. They need no fence and no
+// entitlement: a stop that comes too late or from one that holds the machine no
+// longer meets a higher token or does no harm. Every answer that renews a worker's
+// lease carries them from the first on. Were they left out until the machine is
+// fenced, a holder that knows a job to be withdrawn could renew the lease under
+// its tasks just before it must fall silent, and they would outlast the time for
+// cancelling by as long as the withdrawal was known.
+func (h *holder) halts(x *holding) []protocol.Command {
+	cmds := []protocol.Command{}
+	for _, ref := range refs(x.attempts) {
+		if a := x.attempts[ref]; a.live() && a.stop {
+			g := a.grace
+			a.halted = h.n.now()
+			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: protocol.TaskName(a.job.ID, a.task), Attempt: a.try, GraceS: &g})
+		}
+	}
+	return cmds
+}
+
 // orders works out the difference between what should be on a machine and what
 // its last report showed.
 func (h *holder) orders(x *holding) []protocol.Command {
-	cmds := []protocol.Command{}
-	if !x.fenced || !x.busy {
-		return cmds
+	if !x.busy {
+		return []protocol.Command{}
 	}
+	if !x.fenced || !h.n.entitled(x.shard) {
+		return h.halts(x)
+	}
+	cmds := []protocol.Command{}
 	now := h.n.now()
 	zero := 0.0
 	reaps := false
@@ -55,7 +77,7 @@
 			g := a.grace
 			a.halted = now
 			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: name, Attempt: a.try, GraceS: &g})
-		case a.state == taskPlanned && a.durable() && !a.job.Over() && !a.inherited:
+		case a.state == taskPlanned && a.durable() && a.job.Wanted() && !a.inherited:
 			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStart, Task: name, Attempt: a.try})
 			if a.token == 0 {
 				a.sentAt = now
@@ -74,11 +96,12 @@
 		x.again = true
 		return
 	}
-	if !n.entitled(x.shard) || n.now() < x.mute || x.addr == "" || !x.m.There() {
+	if n.now() < x.mute || x.addr == "" || !x.m.There() {
 		return
 	}
 	cmds := h.orders(x)
-	if len(cmds) == 0 && x.fenced {
+	// Without a command it still shows the token to a machine that is new here.
+	if len(cmds) == 0 && (x.fenced || !n.entitled(x.shard)) {
 		return
 	}
 	x.inFlight, x.again, x.pushed = true, false, n.now()
@@ -132,7 +155,23 @@
 		if a.state == taskPlanned && !a.stop && a.token == 0 && a.durable() {
 			return true
 		}
-		if a.stop && (a.halted == 0 || now-a.halted > 2*time.Second && a.state != taskSaving) {
+		if a.unheeded(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// unheeded reports whether a stop is to be sent, or to be repeated.
+func (a *attempt) unheeded(now time.Duration) bool {
+	return a.live() && a.stop && (a.halted == 0 || now-a.halted > 2*time.Second && a.state != taskSaving)
+}
+
+// unheeded reports whether any stop on a machine is.
+func (h *holder) unheeded(x *holding) bool {
+	now := h.n.now()
+	for _, a := range x.attempts {
+		if a.unheeded(now) {
 			return true
 		}
 	}
--- a/internal/coordination/pings.go
+++ b/internal/coordination/pings.go
@@ -20,7 +20,7 @@
 	fresh       bool
 	left        bool // it ended by itself and gave up what it held
 	shares      uint64
-	kept        bool
+	keeps       []uint64 // tokens of grants whose homes keep to their shares
 	notes       map[string]protocol.MachineNote
 	hears       []time.Duration // when machines of a shard were last heard there; 0: never
 }
@@ -33,7 +33,7 @@
 	p := &protocol.Ping{
 		Node: n.Settings.Node, Incarnation: n.incarnation, SentAt: n.now(), Term: n.book.Leader.Term,
 		FreshFor: n.now() - n.freshAt, Leaving: n.stopped, Machines: n.hold.notes(),
-		Shares: n.book.SharesVer, Kept: n.hold.keepsShares(),
+		Shares: n.book.SharesVer, Keeps: n.hold.keepsShares(),
 	}
 	for _, at := range n.heardFrom {
 		age := time.Duration(-1)
@@ -146,6 +146,9 @@
 			return
 		}
 		reply(protocol.PeerAnswer{Pong: n.lead.onPing(r.Ping)})
+	case len(r.Withdrawn) > 0:
+		n.heardWithdrawn(r.Withdrawn)
+		reply(protocol.PeerAnswer{})
 	default:
 		reply(protocol.PeerAnswer{})
 	}
@@ -171,7 +174,7 @@
 	}
 	info.incarnation = p.Incarnation
 	info.heard, info.pinged, info.fresh = now, now, p.FreshFor < n.authority/2
-	info.left, info.shares, info.kept, info.stale = p.Leaving, p.Shares, p.Kept, p.FreshFor
+	info.left, info.shares, info.keeps, info.stale = p.Leaving, p.Shares, p.Keeps, p.FreshFor
 	info.notes = make(map[string]protocol.MachineNote, len(p.Machines))
 	for _, m := range p.Machines {
 		if m.Seen {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -101,7 +101,7 @@
 		h.jobsSeen = n.book.JobsSeen
 		h.mine = h.mine[:0]
 		n.book.Jobs.All(func(_ int, j *bookkeeping.Job) {
-			if !j.Over() {
+			if j.Wanted() {
 				h.mine = append(h.mine, j)
 			}
 		})
@@ -109,7 +109,7 @@
 			return cmp.Or(cmp.Compare(a.AtMS, b.AtMS), cmp.Compare(a.ID, b.ID))
 		})
 	}
-	h.mine = slices.DeleteFunc(h.mine, (*bookkeeping.Job).Over)
+	h.mine = slices.DeleteFunc(h.mine, func(j *bookkeeping.Job) bool { return !j.Wanted() })
 	return h.mine
 }
 
@@ -311,11 +311,12 @@
 	return !j.Spread || inZone+1 <= (j.Tasks+1)/2
 }
 
-// usable reports whether a machine takes new tasks now.
+// usable reports whether a machine takes new tasks now. One that only answers
+// commands, while its own reports reach nobody, is not: its lease runs out.
 func (h *holder) usable(x *holding, now time.Duration) bool {
 	report := h.n.Settings.Cluster.Workers.Report()
 	return h.n.entitled(x.shard) && x.fenced && !x.suspect && x.m.Phase == bookkeeping.PhaseActive && x.notice == 0 &&
-		now >= x.avoid && now-x.heard < 2*report+time.Second
+		now >= x.avoid && now-min(x.heard, x.answered) < 2*report+time.Second
 }
 
 // room is what is left on a machine.
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -25,7 +25,7 @@
 	for s := range b.Homes {
 		g := &b.Grants[s]
 		p := l.peers[g.Node]
-		settled = settled && p != nil && p.incarnation == g.Incarnation && p.shares == b.SharesVer && p.kept
+		settled = settled && p != nil && p.incarnation == g.Incarnation && p.shares == b.SharesVer && slices.Contains(p.keeps, g.Token)
 		conds = append(conds, protocol.Cond{Key: bookkeeping.GrantKey(s), Version: g.Version})
 	}
 	rec := bookkeeping.SharesRecord{}
@@ -166,17 +166,22 @@
 	return out
 }
 
-// keepsShares reports whether nothing this node holds takes more than the teams'
-// shares allow.
-func (h *holder) keepsShares() bool {
+// keepsShares lists the grants under which this node holds homes of which nothing
+// takes more than the teams' shares allow. It names the grants, not itself: a
+// controller that has just been granted a home may not know yet what is on the
+// machines there, and what it said before says nothing of them.
+func (h *holder) keepsShares() []uint64 {
 	b := h.n.book
+	var out []uint64
 	for s := range h.desks {
+		kept := true
 		for i, u := range h.used(s) {
 			t := &b.Teams[i]
-			if !keeps(u.cpus, t.CPUsMax, b.Share(t, s, t.CPUsMax)) || !keeps(u.gpus, t.GPUsMax, b.Share(t, s, t.GPUsMax)) {
-				return false
-			}
+			kept = kept && keeps(u.cpus, t.CPUsMax, b.Share(t, s, t.CPUsMax)) && keeps(u.gpus, t.GPUsMax, b.Share(t, s, t.GPUsMax))
+		}
+		if kept {
+			out = append(out, b.Grants[s].Token)
 		}
 	}
-	return true
+	return out
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -243,6 +243,11 @@
 				case v.Stage != protocol.StageDone && v.Stage != protocol.StageWithdrawn:
 					reply(comeBack("undecided"))
 				default:
+					// The transaction may have been another controller's that never
+					// heard how it ended.
+					if v.Stage == protocol.StageWithdrawn {
+						n.confirmed(id)
+					}
 					reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: v.Stage}})
 				}
 			})
@@ -260,6 +265,7 @@
 			switch {
 			case err == nil:
 				n.remember(id, f)
+				n.confirmed(id)
 				reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: f.Stage}})
 			case errors.Is(err, protocol.ErrConflict) && tries > 1:
 				n.withdraw(id, tries-1, reply)
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -14,7 +14,9 @@
 	Machines    []MachineNote // machines it holds
 	Strangers   []Report      // machines that reported to it and that no record names
 	Shares      uint64        // version of the teams' shares that it keeps to
-	Kept        bool          // nothing it holds is above its share
+	// Tokens of the grants under which it holds homes and nothing there is above
+	// the home's share.
+	Keeps []uint64
 	// Since a report of one of its machines last came here, by shard, whoever
 	// holds it; below 0: none has.
 	Heard []time.Duration
@@ -46,6 +48,9 @@
 // further fields.
 type PeerRequest struct {
 	Ping *Ping
+	// Jobs whose withdrawal the sender has confirmed to users: their tasks are to
+	// be stopped at once, whatever else the receiver may do now.
+	Withdrawn []string
 }
 
 // PeerAnswer answers a PeerRequest.
--- a/internal/scenario/checker.go
+++ b/internal/scenario/checker.go
@@ -16,6 +16,7 @@
 	on       map[string][]*worker // where a task is on its machine
 	finished map[string]bool      // tasks that have completed
 	starts   int
+	lateOnes int // starts after a confirmed withdrawal, within the time for cancelling or not
 	broken   []string
 }
 
@@ -38,6 +39,9 @@
 	}
 	c.place(w, t)
 	c.on[t.Task] = append(c.on[t.Task], w)
+	if c.s.users.jobs[t.spec.ID].withdrawnAt > 0 {
+		c.lateOnes++
+	}
 	if j := c.s.users.jobs[t.spec.ID]; j.withdrawnAt > 0 && c.s.now > j.withdrawnAt+c.s.cluster.Workers.Cancel() {
 		c.breach("ran_cancelled", "%s starts %s after its withdrawal", t.Task, c.s.now-j.withdrawnAt)
 	}
@@ -103,11 +107,8 @@
 	}
 	switch stage {
 	case protocol.StageDone:
-		for task := range j.spec.Tasks {
-			if !c.finished[protocol.TaskName(id, task)] {
-				c.breach("not_done", "%s is called done, task %d is not", id, task)
-				break
-			}
+		if !c.complete(j) {
+			c.breach("not_done", "%s is called done, not all of its tasks are", id)
 		}
 	case protocol.StageWithdrawn:
 		if !j.asked {
@@ -115,6 +116,7 @@
 		}
 		if j.withdrawnAt == 0 {
 			j.withdrawnAt = c.s.now
+			c.s.trouble("confirmed", 0)
 			c.s.after(c.s.cluster.Workers.Cancel(), func() { c.gone(id) })
 		}
 	default:
@@ -126,6 +128,16 @@
 	j.final = stage
 }
 
+// complete reports whether all tasks of a job have completed.
+func (c *checker) complete(j *userJob) bool {
+	for task := range j.spec.Tasks {
+		if !c.finished[protocol.TaskName(j.spec.ID, task)] {
+			return false
+		}
+	}
+	return true
+}
+
 // gone checks that a withdrawn job has left every machine.
 func (c *checker) gone(id string) {
 	for task, workers := range c.on {
@@ -156,6 +168,7 @@
 				c.breach("forgotten", "no question about %s was answered since %s", j.spec.ID, since)
 			}
 		}
+		c.idle()
 		c.s.after(5*time.Second, look)
 	}
 	look()
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -29,6 +29,7 @@
 		shows := strings.HasPrefix(name, "checker_")
 		for seed := uint64(1); seed <= 3; seed++ {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				t.Parallel()
 				var log bytes.Buffer
 				res, err := Run(a, seed, &log)
 				if err != nil {
@@ -73,6 +74,7 @@
 	}
 	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
 			w := world
 			if seed%2 == 0 {
 				w.Data = append(slices.Clone(w.Data), "homes n=2\n"...)
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -312,17 +312,24 @@
 		name := w.arg(0)
 		if name == "all" {
 			return func() {
+				s.begins("away")
 				for _, h := range s.nodes {
 					h.crash()
 				}
 			}
 		}
 		s.known(w, name)
-		return func() { s.hostNow(name).crash() }
+		return func() {
+			s.trouble("crash", 0)
+			s.hostNow(name).crash()
+		}
 	case "freeze":
 		name, d := w.arg(0), w.duration(w.arg(1))
 		s.known(w, name)
-		return func() { s.hostNow(name).thaw = s.now + d }
+		return func() {
+			s.trouble("freeze", d)
+			s.hostNow(name).thaw = s.now + d
+		}
 	case "stop":
 		h := s.host(w, w.arg(0))
 		return func() {
@@ -333,6 +340,7 @@
 	case "start":
 		if w.arg(0) == "all" {
 			return func() {
+				s.ends("away")
 				for _, h := range s.nodes {
 					if h.p == nil {
 						h.start()
@@ -353,17 +361,24 @@
 			for _, h := range s.hostsNow(name) {
 				h.cut(what, on)
 			}
+			if on {
+				s.begins("cut")
+			} else {
+				s.ends("cut")
+			}
 		}
 	case "hang":
 		pick, d := s.machines(w), w.duration(w.arg(1))
 		return func() {
 			for _, x := range pick() {
+				s.trouble("hang", d)
 				x.hang(d)
 			}
 		}
 	case "outage":
 		d := w.duration(w.arg(0))
 		return func() {
+			s.trouble("outage", d)
 			s.store.setOutage(true)
 			s.after(d, func() { s.store.setOutage(false) })
 		}
@@ -379,14 +394,50 @@
 	case "cloud-lose":
 		share := w.num("share", 0.5)
 		return func() { s.cloud.lose = share }
-	case "deaf":
-		name, d := w.arg(0), w.duration(w.arg(1))
+	case "deaf", "mute":
+		pick, d, mute := s.machines(w), w.duration(w.arg(1)), w.verb == "mute"
 		return func() {
-			if x := s.workers[name]; x != nil {
-				x.deaf = true
-				s.after(d, func() { x.deaf = false })
+			for _, x := range pick() {
+				s.trouble(w.verb, d)
+				if mute {
+					x.mute = true
+				} else {
+					x.deaf = true
+				}
+				s.after(d, func() {
+					if mute {
+						x.mute = false
+					} else {
+						x.deaf = false
+					}
+				})
 			}
 		}
+	case "drag":
+		share, most := w.num("share", 0.3), w.duration(w.text("most", "10s"))
+		return func() { s.drag, s.dragMost = share, most }
+	case "slow-state":
+		share, most := w.num("share", 0.3), w.duration(w.text("most", "1s"))
+		return func() {
+			s.store.slow, s.store.slowMost = share, most
+			if share > 0 {
+				s.begins("slow-state")
+			} else {
+				s.ends("slow-state")
+			}
+		}
+	case "cancel-now":
+		count, hang := int(w.num("count", 10)), w.duration(w.text("hang", "0s"))
+		return func() { s.users.cancelNow(count, hang) }
+	case "cancel-at-end":
+		share := w.num("share", 0.5)
+		return func() { s.users.atEnd = share }
+	case "odd":
+		d := w.duration(w.arg(0))
+		return func() {
+			s.trouble("odd", d)
+			s.users.odd(s.now + d)
+		}
 	case "restart":
 		name := w.arg(0)
 		return func() {
@@ -450,6 +501,7 @@
 		pick, d := s.machines(w), w.duration(w.arg(1))
 		return func() {
 			for _, x := range pick() {
+				s.trouble("machine-cut", d)
 				x.cut = true
 				s.after(d, x.heal)
 			}
@@ -585,6 +637,15 @@
 		if id := s.check.unserved(); id != "" {
 			return id + " is neither done nor runs as a whole"
 		}
+	case "meet":
+		// Two troubles really overlapped.
+		if s.meet(w.arg(0), w.arg(1)) == 0 {
+			return "they never did"
+		}
+	case "late-starts":
+		if most := w.num("most", 0); float64(s.check.lateOnes) > most {
+			return fmt.Sprintf("there were %d", s.check.lateOnes)
+		}
 	case "served":
 		return s.served(w.num("share", 0.5), w.duration(w.text("largest", "4m")))
 	case "writes":
--- a/internal/scenario/sim.go
+++ b/internal/scenario/sim.go
@@ -60,6 +60,9 @@
 	copies  float64 // share of reports of which a late copy arrives
 
 	copyLeast, copyMost time.Duration // how late
+	drag                float64       // share of direct commands that are held up on their way there or back
+	dragMost            time.Duration // how long
+	spans               []span
 	calm                time.Duration // when all troubles were over; 0: not yet
 }
 
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -29,6 +29,8 @@
 	tokensAt time.Duration
 	lose     float64 // share of transactions whose answer is lost
 	late     float64 // share of those that are applied late
+	slow     float64 // share of calls that take long
+	slowMost time.Duration
 }
 
 type lease struct {
@@ -191,7 +193,11 @@
 func (l stateLink) call(do func(st *store) func(), refused func(error)) {
 	s := l.p.h.s
 	s.store.requests++
-	s.after(s.delay(), func() {
+	way := s.delay()
+	if s.store.slow > 0 && s.rand.Float64() < s.store.slow {
+		way += time.Duration(s.rand.Int64N(int64(s.store.slowMost)))
+	}
+	s.after(way, func() {
 		if s.store.down(l.p.h) {
 			s.after(s.delay(), l.p.guard(func() { refused(protocol.ErrNotDone) }))
 			return
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -13,6 +13,9 @@
 type users struct {
 	s    *sim
 	jobs map[string]*userJob
+
+	atEnd float64 // share of jobs that are called off at the moment of their end
+	oddID int     // odd submissions so far
 }
 
 type userJob struct {
@@ -31,6 +34,7 @@
 	heard       time.Duration // last answered poll
 	muted       bool          // answers to its polls are lost on purpose
 	beganAt     time.Duration // first task started
+	idleSince   time.Duration // since when it waits though there is room; 0: not so
 	repeats     int
 }
 
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -18,6 +18,7 @@
 	cut     bool // no message gets through; direct commands are held back
 	held    []func()
 	deaf    bool // its reports arrive, but neither answers nor commands reach it
+	mute    bool // it reaches no controller; direct commands reach it
 	faulty  bool
 	slow    float64
 	session uint64
@@ -185,6 +186,9 @@
 			})
 		})()
 	}
+	if w.mute {
+		return // it can't even connect
+	}
 	w.s.copyReport(r)
 	if w.cut {
 		w.held = append(w.held, deliver) // the report arrives late
@@ -352,6 +356,9 @@
 			w.timer(t, job.run*w.slow, func() {
 				w.s.check.finished[c.Task] = true
 				w.end(t, protocol.CauseDone)
+				if w.s.check.complete(job) {
+					w.s.users.lastEnded(job)
+				}
 			})
 		}
 	})
@@ -378,9 +385,26 @@
 			w.held = append(w.held, func() { w.direct(o) })
 			break
 		}
-		s.after(s.delay(), func() {
+		there, back := s.delay(), time.Duration(0)
+		if s.drag > 0 && s.rand.Float64() < s.drag {
+			// Held up on its way there or back; the sender may give up meanwhile.
+			s.trouble("held-command", s.dragMost)
+			d := time.Duration(s.rand.Int64N(int64(s.dragMost)))
+			if s.rand.IntN(2) == 0 {
+				there += d
+			} else {
+				back += d
+			}
+		}
+		given := there+back > 2*time.Second
+		if given {
+			fail()
+		}
+		s.after(there, func() {
 			if w.dead || w.cut || w.deaf || w.hangs() {
-				fail()
+				if !given {
+					fail()
+				}
 				return
 			}
 			r, ok := w.direct(o)
@@ -392,7 +416,9 @@
 					}
 				})
 			}
-			s.after(s.delay(), l.p.guard(func() { done(r, ok, nil) }))
+			if !given {
+				s.after(back+s.delay(), l.p.guard(func() { done(r, ok, nil) }))
+			}
 		})
 		return
 	}
