--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/tools/txtar"
 )
@@ -99,6 +100,149 @@
 	}
 }
 
+// TestRandomMeetings plays days on which troubles meet in pairs, with overlaps
+// drawn from fixed seeds. The rules hold, and once all is over nothing is left
+// waiting, forgotten or unserved.
+func TestRandomMeetings(t *testing.T) {
+	var seeds []uint64
+	for seed := uint64(1); seed <= moreMeetings; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			playMeetings(t, seed)
+		})
+	}
+}
+
+// moreMeetings is how many days are drawn in the tests.
+const moreMeetings = 40
+
+func playMeetings(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	world := []byte(`team red cpus=16 max=32
+team blue cpus=8 max=16
+type small cpus=4 mem=32 price=0.4 spot=0.1 boot=5 fetch=1
+type large cpus=16 mem=128 price=1.5 spot=0.4 boot=5 fetch=1
+room small north count=4
+room small south count=4
+room small north kind=spot count=4
+room large south count=2
+room large south kind=spot count=2
+in a north
+`)
+	add := func(to *[]byte, format string, args ...any) { *to = fmt.Appendf(*to, format+"\n", args...) }
+	if r.IntN(2) == 0 {
+		add(&world, "homes n=2")
+	}
+	if r.IntN(2) == 0 {
+		add(&world, "nodes 5")
+	}
+	script := drawMeetings(r)
+	expect := []byte("all\nserved\n")
+	a := &txtar.Archive{Files: []txtar.File{{Name: "world", Data: world}, {Name: "script", Data: script}, {Name: "expect", Data: expect}}}
+	var log bytes.Buffer
+	res, err := Run(a, seed, &log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range append(res.Broken, res.Failed...) {
+		t.Error(s)
+	}
+	if t.Failed() {
+		t.Logf("the day:\n%s%s", world, script)
+		if testing.Verbose() {
+			t.Log(log.String())
+		}
+	}
+}
+
+// drawMeetings writes a script of meetings: each is two troubles that begin
+// within three seconds of each other, with cancellations in between.
+func drawMeetings(r *rand.Rand) (script []byte) {
+	add := func(at time.Duration, format string, args ...any) {
+		script = fmt.Appendf(script, "%dms "+format+"\n", append([]any{at.Milliseconds()}, args...)...)
+	}
+	s := func(n int) time.Duration { return time.Duration(n) * time.Second }
+	add(s(1), "submit run-1 kind=service rank=critical tasks=3 cpus=2 gb=0 spread=1")
+	add(s(1), "submit run-2 kind=service rank=critical team=blue tasks=2 cpus=1 gb=1")
+	for i := range 14 {
+		at, team := s(1+r.IntN(190)), []string{"red", "blue"}[r.IntN(2)]
+		extra := []string{"", " together=1", " zone=north", " loaner=1", " loaner=1 mark=4 stash=1", " runs=2,70"}[r.IntN(6)]
+		add(at, "submit run-%d team=%s tasks=%d cpus=%d run=%d gb=%d repeats=%d%s", 10+i, team, 1+r.IntN(6), 1+r.IntN(3), 3+r.IntN(60), r.IntN(3), r.IntN(2), extra)
+		if r.IntN(3) == 0 {
+			add(at+s(r.IntN(60)), "withdraw run-%d", 10+i)
+		}
+	}
+	node := func() string { return []string{"leader", "holder:0", "holder:1", "a", "b", "c"}[r.IntN(6)] }
+	for at := s(25 + r.IntN(15)); at < s(200); at += s(45 + r.IntN(40)) {
+		for range 2 {
+			when := at + time.Duration(r.IntN(3000))*time.Millisecond
+			long := s(3 + r.IntN(70))
+			share := 1 + r.IntN(9)
+			switch r.IntN(16) {
+			case 0:
+				add(when, "outage %s", long)
+			case 1:
+				who := node()
+				add(when, "cut %s state", who)
+				add(when+long, "heal all state")
+			case 2:
+				who := node()
+				add(when, "cut %s state", who)
+				add(when, "cut %s peers", who)
+				add(when+long, "heal all state")
+				add(when+long, "heal all peers")
+			case 3:
+				add(when, "cut %s workers", node())
+				add(when+long, "heal all workers")
+			case 4, 5:
+				add(when, "crash %s", node())
+				add(when+time.Duration(100+r.IntN(6000))*time.Millisecond, "start all")
+			case 6:
+				add(when, "crash all")
+				add(when+[]time.Duration{200 * time.Millisecond, 3 * time.Second, long}[r.IntN(3)], "start all")
+			case 7:
+				add(when, "machine-cut some %s share=0.%d", long, share)
+			case 8:
+				add(when, "hang some %s share=0.%d", long, share)
+			case 9:
+				add(when, "deaf some %s share=0.%d", long, share)
+			case 10:
+				add(when, "mute some %s share=0.%d", long, share)
+			case 11:
+				add(when, "lose share=0.%d late=0.8", share/2)
+				add(when+long, "lose share=0")
+			case 12:
+				add(when, "slow-state share=0.%d most=2500ms", share)
+				add(when+long, "slow-state share=0")
+			case 13:
+				add(when, "drag share=0.%d most=12s", share)
+				add(when+long, "drag share=0")
+			case 14:
+				add(when, "copies share=0.%d least=2s most=70s", share)
+				add(when+long, "copies share=0")
+			case 15:
+				add(when, "zone-cut north %s", long)
+			}
+		}
+		switch r.IntN(3) {
+		case 0:
+			add(at+time.Duration(r.IntN(4000))*time.Millisecond, "cancel-now count=%d hang=%ds", 1+r.IntN(4), r.IntN(30))
+		case 1:
+			add(at, "cancel-at-end share=0.%d", 1+r.IntN(9))
+			add(at+s(30), "cancel-at-end share=0")
+		}
+	}
+	for _, what := range []string{"start all", "heal all all", "lose share=0", "slow-state share=0", "drag share=0", "copies share=0", "cancel-at-end share=0"} {
+		add(s(300), what)
+	}
+	add(s(375), "calm")
+	add(s(700), "end")
+	return script
+}
+
 // drawDay writes a script of jobs and faults.
 func drawDay(r *rand.Rand) (script, expect []byte) {
 	add := func(to *[]byte, format string, args ...any) { *to = fmt.Appendf(*to, format+"\n", args...) }
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -156,6 +156,7 @@
 		n int
 	}
 	var rooms []room
+	zones := map[string]string{} // of controllers
 	for _, l := range world {
 		w := split(l)
 		switch w.verb {
@@ -179,6 +180,8 @@
 			types = append(types, t)
 		case "room":
 			rooms = append(rooms, room{poolName{w.arg(0), w.arg(1), w.text("kind", "ordinary") == "spot"}, int(w.num("count", 1))})
+		case "in":
+			zones[w.arg(0)] = w.arg(1)
 		case "homes":
 			options.Homes = int(w.num("n", 0))
 		default:
@@ -199,7 +202,8 @@
 	}
 	s.cloud.types = types
 	for i := range nodes {
-		s.nodes = append(s.nodes, &host{s: s, name: string(rune('a' + i))})
+		name := string(rune('a' + i))
+		s.nodes = append(s.nodes, &host{s: s, name: name, zone: zones[name]})
 	}
 	for _, h := range s.nodes {
 		h.start()
@@ -287,7 +291,17 @@
 	if t := w.text("types", ""); t != "" {
 		sp.Types = strings.Split(t, ",")
 	}
-	return &userJob{spec: sp, run: w.num("run", 10), broken: w.text("broken", "") != "", repeats: int(w.num("repeats", 0))}
+	var runs []float64 // of the first tasks, where they differ
+	if list := w.text("runs", ""); list != "" {
+		for _, v := range strings.Split(list, ",") {
+			f, err := strconv.ParseFloat(v, 64)
+			if err != nil {
+				w.fail("%s: %v", w.verb, err)
+			}
+			runs = append(runs, f)
+		}
+	}
+	return &userJob{spec: sp, run: w.num("run", 10), runs: runs, broken: w.text("broken", "") != "", repeats: int(w.num("repeats", 0))}
 }
 
 // action turns a line of the script into what it does. What is named only at
@@ -312,7 +326,7 @@
 		name := w.arg(0)
 		if name == "all" {
 			return func() {
-				s.begins("away")
+				s.begins("away", "")
 				for _, h := range s.nodes {
 					h.crash()
 				}
@@ -320,7 +334,6 @@
 		}
 		s.known(w, name)
 		return func() {
-			s.trouble("crash", 0)
 			s.hostNow(name).crash()
 		}
 	case "freeze":
@@ -340,7 +353,7 @@
 	case "start":
 		if w.arg(0) == "all" {
 			return func() {
-				s.ends("away")
+				s.ends("away", "")
 				for _, h := range s.nodes {
 					if h.p == nil {
 						h.start()
@@ -362,11 +375,14 @@
 				h.cut(what, on)
 			}
 			if on {
-				s.begins("cut")
+				s.begins("cut", name)
 			} else {
-				s.ends("cut")
+				s.ends("cut", name)
 			}
 		}
+	case "zone-cut":
+		zone, d := w.arg(0), w.duration(w.arg(1))
+		return func() { s.apart(zone, d) }
 	case "hang":
 		pick, d := s.machines(w), w.duration(w.arg(1))
 		return func() {
@@ -421,14 +437,17 @@
 		return func() {
 			s.store.slow, s.store.slowMost = share, most
 			if share > 0 {
-				s.begins("slow-state")
+				s.begins("slow-state", "")
 			} else {
-				s.ends("slow-state")
+				s.ends("slow-state", "")
 			}
 		}
 	case "cancel-now":
 		count, hang := int(w.num("count", 10)), w.duration(w.text("hang", "0s"))
 		return func() { s.users.cancelNow(count, hang) }
+	case "only-well":
+		on := w.arg(0) == "on"
+		return func() { s.users.onlyWell = on }
 	case "cancel-at-end":
 		share := w.num("share", 0.5)
 		return func() { s.users.atEnd = share }
@@ -549,15 +568,19 @@
 
 // known fails unless a name means a host.
 func (s *sim) known(w *words, name string) {
-	if name != "all" && name != "leader" && !strings.HasPrefix(name, "holder:") {
+	if name != "all" && name != "well" && name != "leader" && !strings.HasPrefix(name, "holder:") {
 		s.host(w, name)
 	}
 }
 
-// hostsNow is hostNow with "all" as a name.
+// hostsNow is hostNow with "all" and "well" as names: the latter are those that
+// the state service serves.
 func (s *sim) hostsNow(name string) []*host {
-	if name == "all" {
+	switch name {
+	case "all":
 		return s.nodes
+	case "well":
+		return slices.DeleteFunc(slices.Clone(s.nodes), func(h *host) bool { return s.store.down(h) })
 	}
 	return []*host{s.hostNow(name)}
 }
@@ -595,6 +618,9 @@
 		if j.final != map[string]string{"done": protocol.StageDone, "withdrawn": protocol.StageWithdrawn}[w.verb] {
 			return fmt.Sprintf("it is %q", j.final)
 		}
+		if by := w.text("by", ""); by != "" && j.withdrawnAt > w.duration(by) {
+			return fmt.Sprintf("it was confirmed at %s", j.withdrawnAt)
+		}
 		return s.before(w, j.finalAt-j.submitted)
 	case "status":
 		j := s.users.jobs[w.arg(0)]
@@ -643,7 +669,7 @@
 			return "they never did"
 		}
 	case "late-starts":
-		if most := w.num("most", 0); float64(s.check.lateOnes) > most {
+		if n := float64(s.check.lateOnes); n > w.num("most", math.Inf(1)) || n < w.num("least", 0) {
 			return fmt.Sprintf("there were %d", s.check.lateOnes)
 		}
 	case "served":
--- a/internal/scenario/sim.go
+++ b/internal/scenario/sim.go
@@ -63,6 +63,7 @@
 	drag                float64       // share of direct commands that are held up on their way there or back
 	dragMost            time.Duration // how long
 	spans               []span
+	cutZone             string        // cut off from all else; "": none
 	calm                time.Duration // when all troubles were over; 0: not yet
 }
 
@@ -104,6 +105,7 @@
 type host struct {
 	s         *sim
 	name      string
+	zone      string // "": none in particular
 	p         *process
 	noState   bool          // the state service refuses it
 	noPeers   bool          // it can't reach other controllers, nor they it
@@ -120,6 +122,7 @@
 
 func (h *host) start() {
 	s := h.s
+	s.ends("down", h.name)
 	p := &process{h: h}
 	set := &config.Settings{Node: h.name, Cluster: s.cluster}
 	for _, o := range s.nodes {
@@ -138,6 +141,7 @@
 
 func (h *host) crash() {
 	if h.p != nil {
+		h.s.begins("down", h.name)
 		h.p.dead = true
 		h.p = nil
 	}
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -80,6 +80,9 @@
 	delete(st.leases, id)
 	for _, key := range st.keys("") {
 		if st.items[key].Lease == id {
+			if key == bookkeeping.KeyLeader {
+				st.s.begins("leaderless", "")
+			}
 			st.revision++
 			delete(st.items, key)
 			st.record(protocol.Event{Remove: key, Version: st.revision})
@@ -141,6 +144,10 @@
 	st.revision++
 	for _, op := range t.Then {
 		if op.Put != "" {
+			if op.Put == bookkeeping.KeyLeader {
+				st.s.ends("leaderless", "")
+				st.s.trouble("election", 0)
+			}
 			st.items[op.Put] = &protocol.Item{Key: op.Put, Value: op.Value, Version: st.revision, Lease: op.Lease}
 			st.record(protocol.Event{Put: op.Put, Value: op.Value, Version: st.revision})
 			if path.Dir(op.Put) == path.Dir(bookkeeping.GrantKey(0)) {
@@ -244,7 +251,9 @@
 		s := st.s
 		if s.rand.Float64() < st.lose {
 			if s.rand.Float64() < st.late {
-				s.after(time.Duration(s.rand.Int64N(int64(20*time.Second))), func() {
+				late := time.Duration(s.rand.Int64N(int64(20 * time.Second)))
+				s.trouble("late-write", late)
+				s.after(late, func() {
 					if !st.outage {
 						_, _ = st.txn(t) // whatever comes of it, nobody is told
 					}
--- a/internal/scenario/troubles.go
+++ b/internal/scenario/troubles.go
@@ -17,25 +17,55 @@
 // them that both overlapped.
 type span struct {
 	name     string
+	key      string // tells those apart that last at the same time
 	from, to time.Duration
 }
 
 // trouble notes that a trouble lasts for so long from now on.
 func (s *sim) trouble(name string, d time.Duration) {
-	s.spans = append(s.spans, span{name, s.now, s.now + d})
+	s.spans = append(s.spans, span{name: name, from: s.now, to: s.now + d})
 }
 
 // begins and ends note a trouble whose end is not known when it begins.
-func (s *sim) begins(name string) { s.spans = append(s.spans, span{name, s.now, -1}) }
+func (s *sim) begins(name, key string) {
+	s.spans = append(s.spans, span{name: name, key: key, from: s.now, to: -1})
+}
 
-func (s *sim) ends(name string) {
+func (s *sim) ends(name, key string) {
 	for i := range s.spans {
-		if p := &s.spans[i]; p.name == name && p.to < 0 {
+		if p := &s.spans[i]; p.name == name && p.key == key && p.to < 0 {
 			p.to = s.now
 		}
 	}
 }
 
+// apart cuts a zone off from everything else: its machines and the controllers
+// in it reach each other and nobody more. What is on its way is lost.
+func (s *sim) apart(zone string, d time.Duration) {
+	s.trouble("zone-cut", d)
+	s.cutZone = zone
+	for _, h := range s.nodes {
+		if h.zone == zone {
+			h.cut("state", true)
+			h.cut("peers", true)
+		}
+	}
+	s.after(d, func() {
+		s.cutZone = ""
+		for _, h := range s.nodes {
+			if h.zone == zone {
+				h.cut("state", false)
+				h.cut("peers", false)
+			}
+		}
+	})
+}
+
+// reach reports whether messages pass between a controller and a machine.
+func (s *sim) reach(h *host, w *worker) bool {
+	return !h.noWorkers && (s.cutZone == "" || (h.zone == s.cutZone) == (w.r.Zone == s.cutZone))
+}
+
 // meet reports how often two troubles overlapped.
 func (s *sim) meet(a, b string) int {
 	n := 0
@@ -59,13 +89,13 @@
 	return n
 }
 
-// cancelNow lets users call off so many jobs that run, the last begun first, and
+// cancelNow lets users call off so many arrays that run, the last begun first, and
 // up to eight of their machines hang for a while.
 func (u *users) cancelNow(count int, hang time.Duration) {
 	s := u.s
 	var running []*userJob
 	for _, id := range slices.Sorted(maps.Keys(u.jobs)) {
-		if j := u.jobs[id]; j.accepted && !j.asked && j.final == "" && len(s.check.machinesOf(id)) > 0 {
+		if j := u.jobs[id]; j.spec.Kind == protocol.KindArray && j.accepted && !j.asked && j.final == "" && len(s.check.machinesOf(id)) > 0 {
 			running = append(running, j)
 		}
 	}
@@ -87,7 +117,7 @@
 // job off, or repeat its submission, at that very moment.
 func (u *users) lastEnded(j *userJob) {
 	if u.atEnd > 0 && u.s.rand.Float64() < u.atEnd && !j.asked {
-		u.s.trouble("cancel-at-end", 0)
+		u.s.trouble("cancel-at-end", time.Second)
 		u.withdraw(j)
 		u.submit(j)
 	}
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -16,12 +16,15 @@
 
 	atEnd float64 // share of jobs that are called off at the moment of their end
 	oddID int     // odd submissions so far
+
+	onlyWell bool // users come to controllers that the state service serves
 }
 
 type userJob struct {
 	spec        protocol.Spec
 	run         float64 // what a task really takes
-	broken      bool    // fails wherever it runs
+	runs        []float64
+	broken      bool // fails wherever it runs
 	submitted   time.Duration
 	accepted    bool
 	acceptedAt  time.Duration
@@ -44,7 +47,7 @@
 	s := u.s
 	var up []*host
 	for _, h := range s.nodes {
-		if h.p != nil {
+		if h.p != nil && (!u.onlyWell || !s.store.down(h)) {
 			up = append(up, h)
 		}
 	}
@@ -174,3 +177,11 @@
 		}
 	})
 }
+
+// takes is how long a task of the job really runs.
+func (j *userJob) takes(name string) float64 {
+	if _, task, err := protocol.SplitTask(name); err == nil && task < len(j.runs) {
+		return j.runs[task]
+	}
+	return j.run
+}
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -173,13 +173,13 @@
 	}
 	p := h.p
 	deliver := func() {
-		if p.dead || h.noWorkers {
+		if p.dead || !w.s.reach(h, w) {
 			return
 		}
 		p.guard(func() {
 			p.node.OnReport(r, func(a coordination.Answer) {
 				w.s.after(w.s.delay(), func() {
-					if !w.cut && !w.deaf && !h.noWorkers {
+					if !w.cut && !w.deaf && w.s.reach(h, w) {
 						finish(a, true)
 					}
 				})
@@ -353,7 +353,7 @@
 		case w.s.check.finished[c.Task]:
 			w.end(t, protocol.CauseDone)
 		case t.spec.Kind != protocol.KindService:
-			w.timer(t, job.run*w.slow, func() {
+			w.timer(t, job.takes(c.Task)*w.slow, func() {
 				w.s.check.finished[c.Task] = true
 				w.end(t, protocol.CauseDone)
 				if w.s.check.complete(job) {
@@ -377,7 +377,7 @@
 		if w.r.Address != addr {
 			continue
 		}
-		if l.p.h.noWorkers {
+		if !s.reach(l.p.h, w) {
 			break
 		}
 		if w.cut || w.hangs() {
