--- a/cmd/rockrun/main.go
+++ b/cmd/rockrun/main.go
@@ -96,8 +96,10 @@
 		log.Warn("few sockets: reports and commands will wait", "fd_limit", limit)
 	}
 	outside := transport.NewClient(sockets.State, sockets.State+sockets.Cloud, 20*time.Second)
-	// Commands come seldom and to many machines: a connection is soon closed.
-	toWorkers := transport.NewClient(2, sockets.Workers, 2*time.Second)
+	// Tasks follow one another on a machine every quarter of a minute or so, and a
+	// connection made anew costs three times the command itself. Above three
+	// quarters of their part of the sockets connections are closed at once.
+	toWorkers := transport.NewClient(2, sockets.Workers, 20*time.Second)
 	back := transport.NewBackend(loop, sockets,
 		&protocol.StateClient{HTTP: outside, Addr: s.External.State, Timeout: 2 * time.Second},
 		&protocol.CloudClient{HTTP: outside, Addr: s.External.Cloud, Timeout: 5 * time.Second},
--- a/internal/coordination/sizer.go
+++ b/internal/coordination/sizer.go
@@ -30,7 +30,13 @@
 
 // zone is how many of the tasks may go to a zone.
 func (d *demand) zone(z int) int {
-	if d.zones == nil || z >= len(d.zones) {
+	if d.zones == nil {
+		return d.count
+	}
+	if z >= len(d.zones) { // a zone that was not known when they were counted
+		if d.job.OneZone {
+			return 0
+		}
 		return d.count
 	}
 	return min(d.count, d.zones[z])
@@ -118,6 +124,7 @@
 	var left []demand
 	for _, d := range s.demands {
 		d.zones = slices.Clone(d.zones)
+		s.gatherIn(&d)
 		for _, x := range s.supply {
 			if d.count == 0 {
 				break
@@ -134,6 +141,31 @@
 	return left
 }
 
+// gatherIn settles on a zone for tasks that must share one and of which none has
+// been placed yet: the one with most room, where that is worth waiting for more.
+func (s *sizing) gatherIn(d *demand) {
+	if !d.job.OneZone || d.zones != nil {
+		return
+	}
+	by := map[int]int{}
+	best := -1
+	for _, x := range s.supply {
+		by[x.zone] += s.roomOn(x, *d)
+		if best < 0 || by[x.zone] > by[best] || by[x.zone] == by[best] && x.zone < best {
+			best = x.zone
+		}
+	}
+	if best >= 0 && by[best]*4 >= d.count {
+		d.only(best)
+	}
+}
+
+// only lets the tasks of a demand go to no other zone.
+func (d *demand) only(zone int) {
+	d.zones = make([]int, max(zone+1, len(d.zones)))
+	d.zones[zone] = d.count
+}
+
 // turnover takes off the demand what machines that are there will have served
 // by the time a new one could start on it: renting for that would only add
 // machines that come up to an empty queue.
@@ -154,7 +186,7 @@
 	for _, x := range s.supply {
 		// Beside the services there must be room for one: a machine that always has
 		// a replica on it never serves a task that takes all of it.
-		if !x.taking || x.shard != d.shard || !s.suits(x, d.job) || !x.firm.fits(d.job) {
+		if !x.taking || x.shard != d.shard || d.zone(x.zone) < 1 || !s.suits(x, d.job) || !x.firm.fits(d.job) {
 			continue
 		}
 		each := share(&s.types[x.typ], d.job) * runS(d.job)
@@ -245,6 +277,9 @@
 			}
 			rents[i].count += count
 			s.max -= count
+			if d.job.OneZone && d.zones == nil {
+				d.only(p.zone)
+			}
 			for range count {
 				x := newSupply(&s.types[p.typ], p, d.shard)
 				planned = append(planned, x)
@@ -621,7 +656,7 @@
 	var list []waiting
 	used := make([]usage, len(n.book.Teams))
 	nowMS := n.Clock.Wall().UnixMilli()
-	spread := map[int][]int{} // tasks of waiting jobs that may be in a zone, by job
+	in := map[int][]int{} // tasks that may be in a zone, by job, of those waiting to which it matters
 	n.book.Jobs.All(func(i int, j *bookkeeping.Job) {
 		if j.TeamIdx < 0 {
 			return
@@ -632,16 +667,16 @@
 			w := waiting{job: j}
 			w.rate(j.Tasks-j.DoneN, j.Running() > 0 || j.DoneN > 0, n.Settings.Cluster.Objectives, nowMS)
 			list = append(list, w)
-			if j.Spread && j.Tasks > 1 {
-				spread[i] = make([]int, n.book.ZoneNames.Len())
+			if j.Spread && j.Tasks > 1 || j.OneZone && j.Running() > 0 {
+				in[i] = make([]int, n.book.ZoneNames.Len())
 			}
 		}
 	})
-	if len(spread) > 0 {
+	if len(in) > 0 {
 		n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
 			for ref := range m.Intents {
-				if in := spread[ref.Job]; in != nil {
-					in[m.ZoneIdx]++
+				if zones := in[ref.Job]; zones != nil {
+					zones[m.ZoneIdx]++
 				}
 			}
 		})
@@ -662,9 +697,17 @@
 		}
 		u.cpus += float64(count) * j.CPUs
 		u.gpus += float64(count) * j.GPUs
-		zones := spread[j.Index]
-		for z := range zones {
-			zones[z] = max(0, (j.Tasks+1)/2-zones[z])
+		zones := in[j.Index]
+		for z, there := range zones {
+			zones[z] = count
+			if j.Spread && j.Tasks > 1 {
+				zones[z] = max(0, (j.Tasks+1)/2-there)
+			}
+			// Tasks that share a zone can't use room in any other: counted as supply,
+			// or rented anew each time it is given back, they would never get theirs.
+			if j.OneZone && j.Running() > 0 && there == 0 {
+				zones[z] = 0
+			}
 		}
 		out = append(out, demand{job: j, shard: j.Home, count: count, zones: zones})
 	}
--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -205,3 +205,48 @@
 		report(n)
 	}
 }
+
+// BenchmarkCommand is a command to a worker and its answer, over a connection that
+// stays open and over one made for it.
+func BenchmarkCommand(b *testing.B) {
+	answer := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		len(reportBody("m-1", 1, 4)), reportBody("m-1", 1, 4))
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				buf := make([]byte, 4096)
+				for {
+					if _, err := conn.Read(buf); err != nil { // a request comes in one piece
+						return
+					}
+					if _, err := conn.Write(answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	grace := 0.0
+	o := protocol.DirectOrders{Token: 1 << 44, Session: 1, Commands: []protocol.Command{{Verb: protocol.VerbStop, Task: "run-1/0", Attempt: 1, GraceS: &grace}}}
+	for name, limit := range map[string]int{"open": 16, "new": 1} { // above three quarters of the limit connections are closed
+		b.Run(name, func(b *testing.B) {
+			w := protocol.WorkerClient{HTTP: NewClient(2, limit, time.Minute), Timeout: time.Second}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok, err := w.Command(ln.Addr().String(), o); err != nil || !ok {
+					b.Fatal(ok, err)
+				}
+			}
+		})
+	}
+}
