--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -116,6 +116,7 @@
 	grantedAt  []time.Duration // by shard: when the grant in force was first seen
 	heardFrom  []time.Duration // by shard: when one of its machines last reported here; 0: never
 	pongAt     time.Duration   // when the leader's last answer that counts came
+	othersWell int             // what it said of the others then
 	beatAt     time.Duration   // no sign of life in the records before
 
 	notices   map[string]*notices // by controller
--- a/internal/coordination/pings.go
+++ b/internal/coordination/pings.go
@@ -69,7 +69,21 @@
 			n.leaseUntil[s] = max(n.leaseUntil[s], p.SentAt+n.blockLease)
 		}
 	}
-	n.pongAt = n.now()
+	n.pongAt, n.othersWell = n.now(), p.Well
+}
+
+// well counts the controllers other than the one given that users had better come
+// to: alive, with young knowledge, and not holding the home of the work that ends.
+func (l *leadership) well(but string) int {
+	n := l.n
+	count := 0
+	for _, node := range n.nodes {
+		p := l.peers[node]
+		if node != but && node != n.book.Grants[0].Node && p != nil && p.fresh && !p.left && n.now()-p.heard < aliveFor {
+			count++
+		}
+	}
+	return count
 }
 
 // beat shows in the records that this node is alive while the leader does not
@@ -195,7 +209,7 @@
 	for i := range p.Strangers {
 		l.fleet.stranger(&p.Strangers[i])
 	}
-	pong := &protocol.Pong{Leader: true, Term: l.term, SentAt: p.SentAt}
+	pong := &protocol.Pong{Leader: true, Term: l.term, SentAt: p.SentAt, Well: l.well(p.Node)}
 	if l.useless(info) {
 		return pong // its block leases run out
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -40,9 +40,18 @@
 	n.finals[id] = f
 }
 
-// Healthy reports whether the node can take requests.
+// Healthy reports whether users had better come here: the node can take requests,
+// and it is not the one whose processor nearly all of the workers' reports and
+// commands go through while others are well. Who comes all the same is served.
 func (n *Node) Healthy() bool {
-	return n.ready && !n.stopped && n.now()-n.freshAt < n.authority
+	return n.ready && !n.stopped && n.now()-n.freshAt < n.authority && !n.spared()
+}
+
+// spared reports whether this node leaves users to others: it holds the home of
+// the work that ends, beside other homes, and the leader has lately said that at
+// least two others are well. Where the leader is gone or few are left, it doesn't.
+func (n *Node) spared() bool {
+	return n.book.Homes > 1 && n.holds(0) && n.othersWell >= 2 && n.now()-n.pongAt < aliveFor
 }
 
 // Submit takes a job. It is accepted once its record is durable; the record's
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -42,6 +42,7 @@
 	Term   uint64
 	SentAt time.Duration
 	Shards []int // shards confirmed
+	Well   int   // other controllers that are well and don't hold the home of the work that ends
 }
 
 // PeerRequest is one message on the link between controllers; later kinds are
