--- a/internal/coordination/desk.go
+++ b/internal/coordination/desk.go
@@ -128,7 +128,7 @@
 func (p *page) weight(a *attempt) int {
 	w := len(a.on.m.Name) + a.width
 	if p.jobs[a.job] == 0 {
-		w += len(a.job.ID) + 8 + len(intentHead(a.job)) + 3
+		w += len(a.job.ID) + 8 + a.prog.head + 3
 	}
 	return w
 }
--- a/internal/coordination/grant.go
+++ b/internal/coordination/grant.go
@@ -63,7 +63,7 @@
 				to = l.choose(s, held, func(node string) bool { return l.hears(l.peers[node], s) })
 			} else if l.crowded(s, held) {
 				n.Log.Info("home moves to a controller that has none", "shard", s, "holder", g.Node, "term", l.term)
-				to = l.choose(s, held, func(node string) bool { return held[node] == 0 })
+				to = l.choose(s, held, func(node string) bool { return l.takes(node, held) })
 				l.movedAt = now
 			}
 		case now-l.since > n.blockLease && (p == nil || now-p.heard > n.blockLease || now-p.confirmed > n.blockLease):
@@ -99,7 +99,11 @@
 func (l *leadership) mute(shard int, p *peerInfo) bool {
 	n := l.n
 	now := n.now()
-	if !l.work(shard) || shard >= len(p.hears) {
+	if !l.work(shard) || shard >= len(p.hears) || now-p.pinged > pingEvery*3 {
+		return false
+	}
+	silent := now - max(p.hears[shard], l.grantAt[shard], l.since)
+	if silent < workerPatience {
 		return false
 	}
 	seen := 0
@@ -113,7 +117,7 @@
 	}
 	// Ten reports were due in that time, however few machines there are.
 	patience := max(workerPatience, 10*n.Settings.Cluster.Workers.Report()/time.Duration(seen))
-	if now-p.pinged > pingEvery*3 || now-max(p.hears[shard], l.grantAt[shard], l.since) < patience {
+	if silent < patience {
 		return false
 	}
 	return slices.ContainsFunc(n.nodes, func(node string) bool { return l.hears(l.peers[node], shard) })
@@ -134,10 +138,15 @@
 	if !l.work(shard) || held[n.book.Grants[shard].Node] < 2 || now-l.movedAt < spreadAfter || now-l.since < spreadAfter {
 		return false
 	}
-	return slices.ContainsFunc(n.nodes, func(node string) bool {
-		p := l.peers[node]
-		return p != nil && held[node] == 0 && p.fresh && now-p.heard < aliveFor && now-p.since > spreadAfter
-	})
+	return slices.ContainsFunc(n.nodes, func(node string) bool { return l.takes(node, held) })
+}
+
+// takes reports whether a home may move to a controller that has none: one that
+// has been well for long.
+func (l *leadership) takes(node string, held map[string]int) bool {
+	now := l.n.now()
+	p := l.peers[node]
+	return p != nil && held[node] == 0 && p.fresh && !p.left && !l.useless(p) && now-p.heard < aliveFor && now-p.since > spreadAfter
 }
 
 // spreadAfter is how long a controller must have been well before a home moves
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -123,6 +123,7 @@
 	turn      int // passes that placed something
 	kicked    bool
 	passAt    time.Duration // no pass before
+	stopsAt   time.Duration // no look before at what must leave its machine
 
 	summaryAt time.Duration
 }
@@ -140,6 +141,7 @@
 	pages    map[int]*donePage // by chunk
 	next     int               // no task below it waits to be placed
 	attempts int
+	head     int   // bytes of its head in a page of intents
 	within   bool  // fits into its team's guarantee with the team's earlier jobs
 	starved  bool  // has once waited too long
 	zones    []int // attempts that may be on a machine, by zone
@@ -374,7 +376,7 @@
 func (h *holder) progress(j *bookkeeping.Job) *progress {
 	p := h.jobs[j]
 	if p == nil {
-		p = &progress{job: j, done: j.Done.Clone(), doneN: j.DoneN, pages: map[int]*donePage{}}
+		p = &progress{job: j, done: j.Done.Clone(), doneN: j.DoneN, pages: map[int]*donePage{}, head: len(intentHead(j))}
 		h.jobs[j] = p
 		if d := h.desks[j.Home]; d != nil {
 			d.takeUp(p)
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -178,10 +178,18 @@
 	return false
 }
 
+// stopsEvery is the time between two looks at what must leave its machine: what
+// they look for takes seconds, and passes come many times a second.
+const stopsEvery = 200 * time.Millisecond
+
 // stops decides which tasks must leave: those of a machine that the cloud takes
 // and which can save in time, and services of machines that go back.
 func (h *holder) stops() {
 	now := h.n.now()
+	if now < h.stopsAt {
+		return
+	}
+	h.stopsAt = now + stopsEvery
 	wanted := slices.ContainsFunc(h.list, func(x *holding) bool {
 		return x.notice > 0 || x.m.Phase == bookkeeping.PhaseDrain && x.services > 0
 	})
--- a/internal/coordination/pings.go
+++ b/internal/coordination/pings.go
@@ -104,7 +104,7 @@
 	}
 	var homes []int
 	for s := range n.book.Homes {
-		if n.holds(s) {
+		if n.holds(s) && len(t.If) < 4*n.Settings.Cluster.State.TxnOps { // conditions allowed in a transaction
 			homes = append(homes, s)
 			t.If = append(t.If, protocol.Cond{Key: bookkeeping.GrantKey(s), Version: n.book.Grants[s].Version})
 		}
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -12,6 +12,7 @@
 type Metrics struct {
 	registry *prometheus.Registry
 	requests *prometheus.HistogramVec
+	reports  prometheus.Observer // of requests, those that come hundreds of times a second
 	shed     *prometheus.CounterVec
 	refused  prometheus.Counter
 	handler  fiber.Handler
@@ -32,6 +33,7 @@
 			Name: "rockrun_reports_refused_total", Help: "Worker reports that could not be read.",
 		}),
 	}
+	m.reports = m.requests.WithLabelValues("report", "200")
 	m.registry.MustRegister(m.requests, m.shed, m.refused, collectors.NewGoCollector(),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "rockrun_requests_limit", Help: "Present bound on user requests in progress.",
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -168,7 +168,11 @@
 	a := wait(func(reply func(coordination.Answer)) {
 		s.post(reply, func() { s.node.OnReport(r, reply) })
 	})
-	s.metrics.requests.WithLabelValues("report", strconv.Itoa(a.Status)).Observe(time.Since(began).Seconds())
+	if a.Status == http.StatusOK {
+		s.metrics.reports.Observe(time.Since(began).Seconds())
+	} else {
+		s.metrics.requests.WithLabelValues("report", strconv.Itoa(a.Status)).Observe(time.Since(began).Seconds())
+	}
 	if a.Status != http.StatusOK {
 		c.Context().SetConnectionClose() // it goes to another controller now
 	}
