--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -74,6 +74,7 @@
 	answered   time.Duration // last time a report was answered 200
 	notice     time.Duration // when the cloud takes the machine; 0: not announced
 	extras     []protocol.TaskStatus
+	reapFrom   time.Duration // since when there are completed ones among them; 0: there are none
 	attempts   map[bookkeeping.TaskRef]*attempt
 	cpus       float64 // taken by live attempts
 	gpus       float64
@@ -511,7 +512,7 @@
 		startable, unsettled := h.startable(x), h.unsettled(x)
 		if startable || unsettled && n.now()-x.pushed > 500*time.Millisecond {
 			h.push(x)
-		} else if !unsettled && len(x.extras) == 0 && !x.changing() {
+		} else if !unsettled && !x.reapDue(n.now()) && !x.changing() {
 			x.busy = false
 		}
 	}
--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -183,6 +183,12 @@
 	}
 	b.apply(bookkeeping.DoneKey(firstPage), bookkeeping.DonePage{bookkeeping.DoneName("run-1", 0): {1}})
 	b.n.hold.pass()
+	// It waits for company for a while, and then goes by itself.
+	if a := b.report(x.seq+1, x.token, ended).Body.(protocol.Orders); len(a.Commands) != 0 {
+		t.Fatalf("orders as soon as it is durable: %v", a.Commands)
+	}
+	b.now += reapAfter
+	b.fresh()
 	a := b.report(x.seq+1, x.token, ended).Body.(protocol.Orders)
 	if len(a.Commands) == 0 || a.Commands[0].Verb != protocol.VerbReap {
 		t.Fatalf("orders after it is durable: %v", a.Commands)
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -41,7 +41,11 @@
 	now := h.n.now()
 	zero := 0.0
 	reaps := false
-	for _, t := range x.extras {
+	extras := x.extras
+	if !x.reapDue(now) && !h.startable(x) {
+		extras = nil
+	}
+	for _, t := range extras {
 		if t.State == protocol.TaskEnded {
 			reaps = true
 			cmds = append(cmds, protocol.Command{Verb: protocol.VerbReap, Task: t.Task, Attempt: t.Attempt})
@@ -89,6 +93,26 @@
 	return cmds
 }
 
+// Completed tasks stay on their machine's list until they are reaped. Each reap is
+// a change that the worker reports at once, so they wait for a command that goes
+// there anyway, for company, or for so long.
+const (
+	reapAfter = 10 * time.Second
+	reapMany  = 8
+)
+
+// reapDue reports whether what nobody asked for must go from a machine now:
+// anything but a few tasks that completed a moment ago.
+func (x *holding) reapDue(now time.Duration) bool {
+	if len(x.extras) == 0 {
+		return false
+	}
+	return len(x.extras) >= reapMany || now-x.reapFrom >= reapAfter ||
+		slices.ContainsFunc(x.extras, func(t protocol.TaskStatus) bool {
+			return t.State != protocol.TaskEnded || t.Cause != protocol.CauseDone
+		})
+}
+
 // push sends a machine its orders at once instead of with its next report.
 func (h *holder) push(x *holding) {
 	n := h.n
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -98,7 +98,6 @@
 		a := x.attempts[ref]
 		if idx < 0 || a == nil || a.try != t.Attempt {
 			x.extras = append(x.extras, *t)
-			x.busy = true
 			continue
 		}
 		a.seen = r.Seq
@@ -120,6 +119,12 @@
 			news = true
 		}
 	}
+	if len(x.extras) == 0 {
+		x.reapFrom = 0
+	} else if x.reapFrom == 0 {
+		x.reapFrom = now
+	}
+	x.busy = x.busy || x.reapDue(now)
 	if found < len(x.attempts) {
 		for _, ref := range refs(x.attempts) {
 			a := x.attempts[ref]
