--- /dev/null
+++ b/internal/scenario/checker_test.go
@@ -0,0 +1,75 @@
+package scenario
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"rockrun/internal/config"
+	"rockrun/internal/protocol"
+)
+
+// idleWorld has one machine with room and one accepted job that fits there.
+func idleWorld() (*sim, *userJob) {
+	s := newSim(config.Cluster{Teams: []config.Team{{Name: "red", CPUsMax: 4}}, Workers: config.Workers{LeaseS: 30, CancelS: 60}}, config.DefaultOptions(), 1, io.Discard)
+	r := &rented{poolName: poolName{"small", "north", false}}
+	r.Name, r.Type, r.Zone = "m-1", "small", "north"
+	s.workers["m-1"] = &worker{s: s, r: r, t: &protocol.MachineType{Name: "small", CPUs: 4, MemoryGB: 16}}
+	j := &userJob{accepted: true, spec: protocol.Spec{ID: "run-1", Class: "c", Team: "red", Kind: protocol.KindArray, Tasks: 1, CPUs: 2, MemoryGB: 1}}
+	s.users.jobs["run-1"] = j
+	return s, j
+}
+
+// TestCheckerSeesLeftWaiting: a job that waits for 90 s beside room for it is seen,
+// and one that waits for something is not.
+func TestCheckerSeesLeftWaiting(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(s *sim, j *userJob)
+		seen   bool
+	}{
+		"room and limit": {func(*sim, *userJob) {}, true},
+		"above limit":    {func(_ *sim, j *userJob) { j.spec.CPUs = 5 }, false},
+		"other zone":     {func(_ *sim, j *userJob) { j.spec.Zone = "south" }, false},
+		"mute machine":   {func(s *sim, _ *userJob) { s.workers["m-1"].mute = true }, false},
+		"no room": {func(s *sim, _ *userJob) {
+			s.workers["m-1"].tasks = []*onWorker{{TaskStatus: protocol.TaskStatus{State: protocol.TaskRunning}, spec: &protocol.Spec{Team: "blue", CPUs: 3}}}
+		}, false},
+		"it runs": {func(s *sim, _ *userJob) { s.check.on["run-1/0"] = []*worker{s.workers["m-1"]} }, false},
+	} {
+		s, j := idleWorld()
+		c.change(s, j)
+		for s.now = time.Second; s.now < 3*time.Minute; s.now += 5 * time.Second {
+			s.check.idle()
+		}
+		if seen := len(s.check.broken) > 0 && strings.HasPrefix(s.check.broken[0], "left_waiting"); seen != c.seen {
+			t.Errorf("%s: seen %t: %v", name, seen, s.check.broken)
+		}
+	}
+}
+
+// TestCheckerSeesUnserved: a class, a team or the largest jobs less than half
+// served are seen, and a largest job that begins after four minutes.
+func TestCheckerSeesUnserved(t *testing.T) {
+	s, small := idleWorld()
+	s.now = 10 * time.Minute
+	small.final, small.beganAt = protocol.StageDone, time.Second
+	large := &userJob{accepted: true, final: protocol.StageDone, beganAt: 2 * time.Minute, spec: small.spec}
+	large.spec.ID, large.spec.Tasks = "run-2", 100
+	s.users.jobs["run-2"] = large
+	if why := s.served(0.5, 4*time.Minute); why != "" {
+		t.Errorf("all is served: %s", why)
+	}
+	large.beganAt = 5 * time.Minute
+	if why := s.served(0.5, 4*time.Minute); !strings.Contains(why, "begin") {
+		t.Errorf("a largest job began late: %q", why)
+	}
+	large.beganAt, large.final = time.Second, ""
+	if why := s.served(0.5, 4*time.Minute); !strings.Contains(why, "largest") {
+		t.Errorf("no largest job is served: %q", why)
+	}
+	large.final, small.final, small.spec.Class, small.spec.Team = protocol.StageDone, "", "d", "red"
+	if why := s.served(0.5, 4*time.Minute); why == "" {
+		t.Error("a class is not served")
+	}
+}
