An answer of the cloud without machines ends no process

Found by TestMalformedAnswers: a rental answered 200 with no names ended the leader (index out of range); it now counts as no capacity. A key that answers to another name and a lease without number count as no answer. TestServer asks wrong methods, paths and bodies too: all were refused as they should be.

--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -126,6 +126,9 @@
 		return nil, err
 	}
 	if status == http.StatusOK {
+		if len(out.Machines) == 0 {
+			return nil, ErrNoCapacity // an answer without machines, whatever it means, brings none
+		}
 		return out.Machines, nil
 	}
 	var p Problem
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -82,6 +82,8 @@
 	switch {
 	case err != nil:
 		return it, false, err
+	case status == http.StatusOK && it.Key != key:
+		return it, false, fmt.Errorf("%w: get %s: answer names %q", ErrUnknown, key, it.Key)
 	case status == http.StatusOK:
 		return it, true, nil
 	case status == http.StatusNotFound:
@@ -141,6 +143,9 @@
 	if err == nil && status != http.StatusOK {
 		err = refused("new lease", status, answer)
 	}
+	if err == nil && out.Lease == 0 {
+		err = fmt.Errorf("%w: new lease: answer names none", ErrUnknown)
+	}
 	return out.Lease, err
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -182,6 +182,20 @@
 		{"GET", "/autoscaler/status", "", 200, false},
 		{"GET", "/metrics", "", 200, false},
 		{"GET", "/nowhere", "", 404, false},
+		{"GET", "/submissions", "", 405, false},
+		{"DELETE", "/submissions/run-1", "", 405, false},
+		{"PUT", "/hello", "{}", 405, false},
+		{"GET", "/submissions/run-1/withdraw", "", 405, false},
+		{"POST", "/submissions/run-1/nothing", "", 404, false},
+		{"POST", "/submissions/run-x/withdraw", "", 404, false},
+		{"POST", "/submissions", "null", 400, false},
+		{"POST", "/submissions", "[" + whole + "]", 400, false},
+		{"POST", "/submissions", whole + whole, 400, false},
+		{"POST", "/submissions", strings.Replace(whole, `"vcpus":1`, `"vcpus":1e400`, 1), 400, false},
+		{"POST", "/submissions", strings.Replace(whole, `"vcpus":1`, `"vcpus":-1`, 1), 400, false},
+		{"POST", "/submissions", strings.Replace(whole, `"pieces":1`, `"pieces":100001`, 1), 400, false},
+		{"POST", "/submissions", strings.Replace(whole, `"rank":"normal",`, "", 1), 400, false},
+		{"POST", "/hello", `{"host":"m-1","shift":-1}`, 400, false},
 	} {
 		req, err := http.NewRequest(c.method, "http://"+ln.Addr().String()+c.path, strings.NewReader(c.body))
 		if err != nil {
@@ -208,3 +222,39 @@
 		t.Error(err)
 	}
 }
+
+// TestMalformedAnswers: what the state service, the cloud and workers answer in
+// another form than agreed counts as no answer, whatever the status says.
+func TestMalformedAnswers(t *testing.T) {
+	for _, answer := range []string{"", "nonsense", "{", `[1]`, `{"epoch":"x"}`, `{"epoch":-1,"permit":-1,"hosts":1,"builds":1,"items":1,"stamp":"x","shift":"y"}`} {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, answer) })}
+		go func() { _ = srv.Serve(ln) }()
+		addr, client := ln.Addr().String(), NewClient(4, 32, time.Second)
+		state := &protocol.StateClient{HTTP: client, Addr: addr, Timeout: time.Second}
+		cloud := &protocol.CloudClient{HTTP: client, Addr: addr, Timeout: time.Second}
+		worker := &protocol.WorkerClient{HTTP: client, Timeout: time.Second}
+		for name, call := range map[string]func() error{
+			"get":       func() error { _, _, err := state.Get("k"); return err },
+			"list":      func() error { _, err := state.List("r/", ""); return err },
+			"txn":       func() error { _, err := state.Txn(protocol.Txn{}); return err },
+			"lease":     func() error { _, err := state.NewLease(time.Second); return err },
+			"follow":    func() error { _, err := state.Follow("r/", 1, 0); return err },
+			"catalogue": func() error { _, err := cloud.Catalogue(); return err },
+			"rent":      func() error { _, err := cloud.Rent(protocol.Rent{}); return err },
+			"machines":  func() error { _, err := cloud.List(); return err },
+			"command":   func() error { _, _, err := worker.Command(addr, protocol.DirectOrders{}); return err },
+		} {
+			if empty := answer == `{"epoch":"x"}` && (name == "catalogue" || name == "machines"); empty {
+				continue // an empty list, as it may be
+			}
+			if err := call(); err == nil {
+				t.Errorf("%s takes %q for an answer", name, answer)
+			}
+		}
+		srv.Close()
+	}
+}
