--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -91,11 +91,7 @@
 // drawn from fixed seeds. The rules hold, and once all is over nothing is left
 // waiting, forgotten or unserved.
 func TestRandomMeetings(t *testing.T) {
-	var seeds []uint64
 	for seed := uint64(1); seed <= moreMeetings; seed++ {
-		seeds = append(seeds, seed)
-	}
-	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			playMeetings(t, seed)
