--- /dev/null
+++ b/internal/scenario/actions_nodes.go
@@ -0,0 +1,92 @@
+package scenario
+
+// Actions on controllers: processes end, stand still and lose parts of the network.
+
+func actCrash(s *sim, line *statement) func() {
+	name := line.arg(0)
+	if name == "all" {
+		return func() {
+			s.begins("away", "")
+			for _, h := range s.nodes {
+				h.crash()
+			}
+		}
+	}
+	s.known(line, name)
+	return func() {
+		s.hostNow(name).crash()
+	}
+}
+
+func actFreeze(s *sim, line *statement) func() {
+	name, d := line.arg(0), line.duration(line.arg(1))
+	s.known(line, name)
+	return func() {
+		s.trouble("freeze", d)
+		s.hostNow(name).thaw = s.now + d
+	}
+}
+
+func actStop(s *sim, line *statement) func() {
+	h := s.host(line, line.arg(0))
+	return func() {
+		if p := h.p; p != nil {
+			p.node.Stop(h.crash)
+		}
+	}
+}
+
+func actStart(s *sim, line *statement) func() {
+	if line.arg(0) == "all" {
+		return func() {
+			s.ends("away", "")
+			for _, h := range s.nodes {
+				if h.p == nil {
+					h.start()
+				}
+			}
+		}
+	}
+	h := s.host(line, line.arg(0))
+	return func() {
+		if h.p == nil {
+			h.start()
+		}
+	}
+}
+
+func actCut(s *sim, line *statement) func() {
+	name, what, on := line.arg(0), line.arg(1), line.verb == "cut"
+	s.known(line, name)
+	return func() {
+		for _, h := range s.hostsNow(name) {
+			h.cut(what, on)
+		}
+		if on {
+			s.begins("cut", name)
+		} else {
+			s.ends("cut", name)
+		}
+	}
+}
+
+func actZoneCut(s *sim, line *statement) func() {
+	zone, d := line.arg(0), line.duration(line.arg(1))
+	return func() { s.apart(zone, d) }
+}
+
+// cut takes parts of a host's network away, or gives them back.
+func (h *host) cut(what string, on bool) {
+	if what == "all" || what == "state" {
+		h.noState = on
+	}
+	if what == "all" || what == "peers" {
+		h.noPeers = on
+	}
+	if what == "all" || what == "workers" {
+		h.noWorkers = on
+	}
+	if !on {
+		h.s.store.wake()
+	}
+}
--- /dev/null
+++ b/internal/scenario/actions_users.go
@@ -0,0 +1,114 @@
+package scenario
+
+import (
+	"fmt"
+	"rockrun/internal/protocol"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Actions of the users: jobs come, are cancelled, and are asked about.
+
+func actSubmit(s *sim, line *statement) func() {
+	j := s.job(line)
+	return func() {
+		j.submitted = s.now
+		s.users.jobs[j.spec.ID] = j
+		s.users.submit(j)
+	}
+}
+
+func actStream(s *sim, line *statement) func() {
+	// Many like jobs: one every so often, with ids that count up.
+	id, every, count := line.arg(0), line.duration(line.text("every", "1s")), int(line.num("count", 10))
+	prefix, number, _ := strings.Cut(id, "-")
+	first, err := strconv.Atoi(number)
+	if err != nil {
+		line.fail("stream: %v", err)
+	}
+	var jobs []*userJob
+	for i := range count {
+		line.args[0] = fmt.Sprintf("%s-%d", prefix, first+i)
+		jobs = append(jobs, s.job(line))
+	}
+	return func() {
+		for i, j := range jobs {
+			s.after(time.Duration(i)*every, func() {
+				j.submitted = s.now
+				s.users.jobs[j.spec.ID] = j
+				s.users.submit(j)
+			})
+		}
+	}
+}
+
+func actWithdraw(s *sim, line *statement) func() {
+	id := line.arg(0)
+	return func() {
+		if j := s.users.jobs[id]; j != nil {
+			s.users.withdraw(j)
+		}
+	}
+}
+
+func actCancelNow(s *sim, line *statement) func() {
+	count, hang := int(line.num("count", 10)), line.duration(line.text("hang", "0s"))
+	return func() { s.users.cancelNow(count, hang) }
+}
+
+func actCancelAtEnd(s *sim, line *statement) func() {
+	share := line.num("share", 0.5)
+	return func() { s.users.atEnd = share }
+}
+
+func actOnlyWell(s *sim, line *statement) func() {
+	on := line.arg(0) == "on"
+	return func() { s.users.onlyWell = on }
+}
+
+func actOdd(s *sim, line *statement) func() {
+	d := line.duration(line.arg(0))
+	return func() {
+		s.trouble("odd", d)
+		s.users.odd(s.now + d)
+	}
+}
+
+func actCalm(s *sim, line *statement) func() {
+	return s.check.calm
+}
+
+// job reads the description of a job.
+func (s *sim) job(line *statement) *userJob {
+	sp := protocol.Spec{
+		ID: line.arg(0), Class: line.text("class", "c"), Team: line.text("team", "red"), Priority: line.text("rank", "normal"),
+		Tasks: int(line.num("tasks", 1)), CPUs: line.num("cpus", 1), MemoryGB: line.num("mem", 1), Image: line.text("image", "img"), ImageGB: line.num("gb", 1),
+		Zone: line.text("zone", ""), OneZone: line.text("together", "") != "", Spread: line.text("spread", "") != "", Spot: line.text("loaner", "") != "",
+		EstimateS: line.num("guess", 10), CheckpointS: line.num("mark", 0), SaveS: line.num("stash", 0), DeadlineS: line.num("due", 0),
+	}
+	switch kind := line.text("kind", "array"); kind {
+	case "array":
+		sp.Kind = protocol.KindArray
+	case "service":
+		sp.Kind = protocol.KindService
+	case "gang":
+		sp.Kind = protocol.KindGang
+	default:
+		line.fail("kind %s", kind)
+	}
+	if t := line.text("types", ""); t != "" {
+		sp.Types = strings.Split(t, ",")
+	}
+	var runs []float64 // of the first tasks, where they differ
+	if list := line.text("runs", ""); list != "" {
+		for _, v := range strings.Split(list, ",") {
+			f, err := strconv.ParseFloat(v, 64)
+			if err != nil {
+				line.fail("%s: %v", line.verb, err)
+			}
+			runs = append(runs, f)
+		}
+	}
+	return &userJob{spec: sp, run: line.num("run", 10), runs: runs, broken: line.text("broken", "") != "", repeats: int(line.num("repeats", 0))}
+}
--- /dev/null
+++ b/internal/scenario/select.go
@@ -0,0 +1,87 @@
+package scenario
+
+import (
+	"encoding/json"
+	"rockrun/internal/bookkeeping"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+func (s *sim) host(line *statement, name string) *host {
+	for _, h := range s.nodes {
+		if h.name == name {
+			return h
+		}
+	}
+	line.fail("no node %s", name)
+	return &host{s: s}
+}
+
+// hostNow looks a host up when something happens to it: by name, "leader", or
+// "holder:N", the holder of shard N.
+func (s *sim) hostNow(name string) *host {
+	if name == "leader" {
+		return s.leaderHost()
+	}
+	if shard, ok := strings.CutPrefix(name, "holder:"); ok {
+		n, err := strconv.Atoi(shard)
+		var g bookkeeping.GrantRecord
+		if it := s.store.items[bookkeeping.GrantKey(n)]; err == nil && it != nil && json.Unmarshal(it.Value, &g) == nil {
+			name = g.Node
+		}
+	}
+	for _, h := range s.nodes {
+		if h.name == name {
+			return h
+		}
+	}
+	return s.nodes[0]
+}
+
+// hostsNow is hostNow with "all" and "well" as names: the latter are those that
+// the state service serves.
+func (s *sim) hostsNow(name string) []*host {
+	switch name {
+	case "all":
+		return s.nodes
+	case "well":
+		return slices.DeleteFunc(slices.Clone(s.nodes), func(h *host) bool { return s.store.down(h) })
+	}
+	return []*host{s.hostNow(name)}
+}
+
+// leaderHost is the host whose process leads now, or the first.
+func (s *sim) leaderHost() *host {
+	for _, h := range s.nodes {
+		if h.p != nil {
+			if st, _ := h.p.node.Autoscaler(); st.Leading {
+				return h
+			}
+		}
+	}
+	return s.nodes[0]
+}
+
+// known fails unless a name means a host.
+func (s *sim) known(line *statement, name string) {
+	if name != "all" && name != "well" && name != "leader" && !strings.HasPrefix(name, "holder:") {
+		s.host(line, name)
+	}
+}
+
+// machines picks machines that are up: the one named, or with "some" a share of
+// them all, of a zone where one is given.
+func (s *sim) machines(line *statement) func() []*worker {
+	name, zone, share := line.arg(0), line.text("zone", ""), line.num("share", 1)
+	return func() []*worker {
+		var out []*worker
+		for _, r := range s.cloud.rented {
+			x := s.workers[r.Name]
+			if x != nil && (r.Name == name || name == "some" && (zone == "" || zone == r.Zone) && s.rand.Float64() < share) {
+				out = append(out, x)
+			}
+		}
+		return out
+	}
+}
--- /dev/null
+++ b/internal/scenario/world.go
@@ -0,0 +1,107 @@
+package scenario
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+
+	"rockrun/internal/config"
+	"rockrun/internal/protocol"
+)
+
+// world is what a scenario's first file describes.
+type world struct {
+	cluster  config.Cluster
+	options  config.Options
+	nodes    int
+	types    []protocol.MachineType
+	capacity map[poolName]int
+	zones    map[string]string // of controllers
+}
+
+// declarations are the verbs of a world.
+var declarations = map[string]func(w *world, line *statement){
+	"nodes":   declareNodes,
+	"workers": declareWorkers,
+	"state":   declareState,
+	"team":    declareTeam,
+	"type":    declareType,
+	"room":    declareRoom,
+	"in": func(w *world, line *statement) {
+		w.zones[line.arg(0)] = line.arg(1)
+	},
+	"homes": func(w *world, line *statement) {
+		w.options.Homes = int(line.num("n", 0))
+	},
+}
+
+func declareNodes(w *world, line *statement) {
+	n, err := strconv.Atoi(line.arg(0))
+	if err != nil {
+		line.fail("%v", err)
+	}
+	w.nodes = n
+}
+
+func declareWorkers(w *world, line *statement) {
+	w.cluster.Workers = config.Workers{ReportS: line.num("report", 3), LeaseS: line.num("lease", 30), CancelS: line.num("cancel", 60)}
+}
+
+func declareState(w *world, line *statement) {
+	w.cluster.State = config.State{RPS: 200, WriteRPS: line.num("writes", 80), ValueKB: line.num("value", 8), TxnOps: int(line.num("ops", 32))}
+}
+
+func declareTeam(w *world, line *statement) {
+	w.cluster.Teams = append(w.cluster.Teams, config.Team{Name: line.arg(0), CPUs: line.num("cpus", 0), CPUsMax: line.num("max", 0)})
+}
+
+func declareType(w *world, line *statement) {
+	w.types = append(w.types, protocol.MachineType{
+		Name: line.arg(0), CPUs: line.num("cpus", 4), MemoryGB: line.num("mem", 16), CacheGB: 100, FetchGBPS: line.num("fetch", 1),
+		Price: line.num("price", 1), SpotPrice: line.num("spot", 0.3), BootS: line.num("boot", 5),
+	})
+}
+
+func declareRoom(w *world, line *statement) {
+	pool := poolName{line.arg(0), line.arg(1), line.text("kind", "ordinary") == "spot"}
+	w.capacity[pool] = int(line.num("count", 1))
+	for i := range w.types {
+		if t := &w.types[i]; t.Name == pool.typ && !slices.Contains(t.Zones, pool.zone) {
+			t.Zones = append(t.Zones, pool.zone)
+		}
+	}
+}
+
+// buildWorld reads the world of a scenario and starts its controllers.
+func buildWorld(declared []string, seed uint64, log io.Writer) (*sim, error) {
+	w := &world{
+		cluster: config.Cluster{
+			Workers: config.Workers{ReportS: 3, LeaseS: 30, CancelS: 60},
+			State:   config.State{RPS: 200, WriteRPS: 80, ValueKB: 8, TxnOps: 32},
+			Cloud:   config.Cloud{RPS: 4, ListLagS: 5},
+		},
+		options: config.DefaultOptions(), nodes: 3, capacity: map[poolName]int{}, zones: map[string]string{},
+	}
+	for _, text := range declared {
+		line := parseStatement(text)
+		declare, ok := declarations[line.verb]
+		if !ok {
+			return nil, fmt.Errorf("world: %q: unknown declaration", text)
+		}
+		declare(w, line)
+		if line.err != nil {
+			return nil, fmt.Errorf("world: %q: %w", text, line.err)
+		}
+	}
+	s := newSim(w.cluster, w.options, seed, log)
+	s.cloud.capacity, s.cloud.types = w.capacity, w.types
+	for i := range w.nodes {
+		name := string(rune('a' + i))
+		s.nodes = append(s.nodes, &host{s: s, name: name, zone: w.zones[name]})
+	}
+	for _, h := range s.nodes {
+		h.start()
+	}
+	return s, nil
+}
