A controller that machines can't reach gets no other home; holders never heard are relieved

A relieved controller now gets a home again once a machine has reached it, or after two minutes, and machines seen under an earlier holder count when a holder hears none. Ruled out: the machines themselves; others heard them all the time.

--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -25,6 +25,7 @@
 	lastSeen map[string]protocol.MachineNote // by machine: what a holder that had seen it last said
 	beats    map[string]uint64               // versions of the signs of life taken in
 	movedAt  time.Duration                   // when a home was last moved to a controller with less to do
+	relieved map[string]time.Duration        // when a controller lost a home whose machines could not reach it
 	granting []bool
 	grantAt  []time.Duration
 	homing   bool
@@ -122,6 +123,7 @@
 			peers:    map[string]*peerInfo{},
 			beats:    map[string]uint64{},
 			lastSeen: map[string]protocol.MachineNote{},
+			relieved: map[string]time.Duration{},
 			granting: make([]bool, n.shards), grantAt: make([]time.Duration, n.shards),
 		}
 		for node, b := range n.book.Beats {
--- a/internal/coordination/grant.go
+++ b/internal/coordination/grant.go
@@ -61,6 +61,7 @@
 			if l.mute(s, p) {
 				n.Log.Warn("holder hears nothing of its machines, others do", "shard", s, "holder", g.Node, "term", l.term)
 				to = l.choose(s, held, func(node string) bool { return l.hears(l.peers[node], s) })
+				l.relieved[g.Node], l.movedAt = now, now
 			} else if l.crowded(s, held) {
 				n.Log.Info("home moves to a controller that has none", "shard", s, "holder", g.Node, "term", l.term)
 				to = l.choose(s, held, func(node string) bool { return l.takes(node, held) })
@@ -108,7 +109,10 @@
 	}
 	seen := 0
 	for name, note := range p.notes {
-		if _, m := n.book.Machines.Find(name); m != nil && m.Shard == shard && note.Seen {
+		// A holder that could never be reached has seen none of the machines that
+		// were up before it was granted them.
+		_, seenBefore := l.lastSeen[name]
+		if _, m := n.book.Machines.Find(name); m != nil && m.Shard == shard && (note.Seen || note.Tasks > 0 || seenBefore) {
 			seen++
 		}
 	}
@@ -146,9 +150,26 @@
 func (l *leadership) takes(node string, held map[string]int) bool {
 	now := l.n.now()
 	p := l.peers[node]
-	return p != nil && held[node] == 0 && p.fresh && !p.left && !l.useless(p) && now-p.heard < aliveFor && now-p.since > spreadAfter
+	return p != nil && held[node] == 0 && p.fresh && !p.left && !l.useless(p) && now-p.heard < aliveFor && now-p.since > spreadAfter &&
+		!l.unreached(node)
 }
 
+// unreached reports whether a controller was relieved of a home since none of its
+// machines reached it, and nothing shows yet that machines do again. Without a home
+// it may hear none for long, so after a while it is tried again.
+func (l *leadership) unreached(node string) bool {
+	at, relieved := l.relieved[node]
+	if !relieved || l.n.now()-at > relievedFor {
+		return false
+	}
+	p := l.peers[node]
+	return p == nil || !slices.ContainsFunc(p.hears, func(heard time.Duration) bool { return heard > at })
+}
+
+// relievedFor is how long a relieved controller gets no home unless machines reach
+// it: well beyond the cuts after which all is well again by itself.
+const relievedFor = 2 * time.Minute
+
 // spreadAfter is how long a controller must have been well before a home moves
 // to it, and the least time between two such moves: each costs a handing over.
 const spreadAfter = 15 * time.Second
@@ -172,7 +193,7 @@
 		if node == n.Settings.Node {
 			c += 10
 		}
-		if !p.fresh {
+		if !p.fresh || l.unreached(node) {
 			c += 1000
 		}
 		if best == "" || c < cost {
