Scenarios for the meetings that had none; cuts are recorded by controller

A cut now lasts in the record as long as any part of a controller's network is missing, whatever name it was healed by; all scenarios that rest on it still show their overlap. Log lines of scenarios carry virtual time.

--- a/internal/scenario/actions_machines.go
+++ b/internal/scenario/actions_machines.go
@@ -6,7 +6,7 @@
 	pick, d := s.machines(line), line.duration(line.arg(1))
 	return func() {
 		for _, x := range pick() {
-			s.trouble("hang", d)
+			s.noteFault("hang", d)
 			x.hang(d)
 		}
 	}
@@ -16,7 +16,7 @@
 	pick, d, mute := s.machines(line), line.duration(line.arg(1)), line.verb == "mute"
 	return func() {
 		for _, x := range pick() {
-			s.trouble(line.verb, d)
+			s.noteFault(line.verb, d)
 			if mute {
 				x.mute = true
 			} else {
@@ -66,7 +66,7 @@
 	pick, d := s.machines(line), line.duration(line.arg(1))
 	return func() {
 		for _, x := range pick() {
-			s.trouble("machine-cut", d)
+			s.noteFault("machine-cut", d)
 			x.cut = true
 			s.after(d, x.heal)
 		}
@@ -101,6 +101,16 @@
 	return func() { s.copies, s.copyLeast, s.copyMost = share, least, most }
 }
 
+func actKeepCopies(s *sim, line *statement) func() {
+	share := line.num("share", 0.5)
+	return func() { s.keptCopies = share }
+}
+
+func actLateCommands(s *sim, line *statement) func() {
+	share, least, most := line.num("share", 0.3), line.duration(line.text("least", "2s")), line.duration(line.text("most", "16s"))
+	return func() { s.lateCommands, s.lateLeast, s.lateMost = share, least, most }
+}
+
 func actEcho(s *sim, line *statement) func() {
 	share := line.num("share", 0.3)
 	return func() { s.echo = share }
--- a/internal/scenario/actions_nodes.go
+++ b/internal/scenario/actions_nodes.go
@@ -6,7 +6,7 @@
 	name := line.arg(0)
 	if name == "all" {
 		return func() {
-			s.begins("away", "")
+			s.faultBegins("away", "")
 			for _, h := range s.nodes {
 				h.crash()
 			}
@@ -22,7 +22,7 @@
 	name, d := line.arg(0), line.duration(line.arg(1))
 	s.known(line, name)
 	return func() {
-		s.trouble("freeze", d)
+		s.noteFault("freeze", d)
 		s.hostNow(name).thaw = s.now + d
 	}
 }
@@ -39,7 +39,7 @@
 func actStart(s *sim, line *statement) func() {
 	if line.arg(0) == "all" {
 		return func() {
-			s.ends("away", "")
+			s.faultEnds("away", "")
 			for _, h := range s.nodes {
 				if h.p == nil {
 					h.start()
@@ -62,11 +62,6 @@
 		for _, h := range s.hostsNow(name) {
 			h.cut(what, on)
 		}
-		if on {
-			s.begins("cut", name)
-		} else {
-			s.ends("cut", name)
-		}
 	}
 }
 
@@ -75,8 +70,10 @@
 	return func() { s.apart(zone, d) }
 }
 
-// cut takes parts of a host's network away, or gives them back.
+// cut takes parts of a host's network away, or gives them back. The host counts as
+// cut for as long as any part is missing, whatever name it was cut or healed by.
 func (h *host) cut(what string, on bool) {
+	before := h.isCut()
 	if what == "all" || what == "state" {
 		h.noState = on
 	}
@@ -86,7 +83,15 @@
 	if what == "all" || what == "workers" {
 		h.noWorkers = on
 	}
+	switch after := h.isCut(); {
+	case after && !before:
+		h.s.faultBegins("cut", h.name)
+	case before && !after:
+		h.s.faultEnds("cut", h.name)
+	}
 	if !on {
 		h.s.store.wake()
 	}
 }
+
+func (h *host) isCut() bool { return h.noState || h.noPeers || h.noWorkers }
--- a/internal/scenario/actions_services.go
+++ b/internal/scenario/actions_services.go
@@ -5,7 +5,7 @@
 func actOutage(s *sim, line *statement) func() {
 	d := line.duration(line.arg(0))
 	return func() {
-		s.trouble("outage", d)
+		s.noteFault("outage", d)
 		s.store.setOutage(true)
 		s.after(d, func() { s.store.setOutage(false) })
 	}
@@ -16,9 +16,9 @@
 	return func() {
 		s.store.slow, s.store.slowMost = share, most
 		if share > 0 {
-			s.begins("slow-state", "")
+			s.faultBegins("slow-state", "")
 		} else {
-			s.ends("slow-state", "")
+			s.faultEnds("slow-state", "")
 		}
 	}
 }
--- a/internal/scenario/actions_users.go
+++ b/internal/scenario/actions_users.go
@@ -27,6 +27,7 @@
 	if err != nil {
 		line.fail("stream: %v", err)
 	}
+	cancelled, after := line.num("cancelled", 0), line.duration(line.text("after", "5s"))
 	var jobs []*userJob
 	for i := range count {
 		line.args[0] = fmt.Sprintf("%s-%d", prefix, first+i)
@@ -38,6 +39,9 @@
 				j.submitted = s.now
 				s.users.jobs[j.spec.ID] = j
 				s.users.submit(j)
+				if s.rand.Float64() < cancelled {
+					s.after(time.Duration(s.rand.Int64N(int64(after))), func() { s.users.withdraw(j) })
+				}
 			})
 		}
 	}
@@ -67,10 +71,19 @@
 	return func() { s.users.onlyWell = on }
 }
 
+func actCloseLooks(s *sim, line *statement) func() {
+	d := line.duration(line.arg(0))
+	cancelled := line.num("cancelled", 0)
+	return func() {
+		s.noteFault("close-looks", d)
+		s.users.closeLooks, s.users.cancelAtOnce = s.now+d, cancelled
+	}
+}
+
 func actOdd(s *sim, line *statement) func() {
 	d := line.duration(line.arg(0))
 	return func() {
-		s.trouble("odd", d)
+		s.noteFault("odd", d)
 		s.users.odd(s.now + d)
 	}
 }
--- a/internal/scenario/checker.go
+++ b/internal/scenario/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -116,7 +117,7 @@
 		}
 		if j.withdrawnAt == 0 {
 			j.withdrawnAt = c.s.now
-			c.s.trouble("confirmed", 0)
+			c.s.noteFault("confirmed", 0)
 			c.s.after(c.s.cluster.Workers.Cancel(), func() { c.gone(id) })
 		}
 	default:
@@ -154,10 +155,18 @@
 	}
 }
 
-// answerWithin is how long after the last trouble a job may go unanswered.
+// answeredBad is called with the answer to a submission that can't run, or that is
+// malformed.
+func (c *checker) answeredBad(body string, status int) {
+	if status == http.StatusOK || status == http.StatusCreated {
+		c.breach("accepted_bad", "%.60q is answered %d", body, status)
+	}
+}
+
+// answerWithin is how long after the last fault a job may go unanswered.
 const answerWithin = 75 * time.Second
 
-// calm is called once all troubles are over: from then on no accepted job may go
+// calm is called once all faults are over: from then on no accepted job may go
 // unanswered for long, however others fare.
 func (c *checker) calm() {
 	c.s.calm = max(c.s.now, 1)
--- a/internal/scenario/checker_test.go
+++ b/internal/scenario/checker_test.go
@@ -73,3 +73,43 @@
 		t.Error("a class is not served")
 	}
 }
+
+// TestCheckerSeesBadSubmissions: a submission that can't run or lacks a field and is
+// accepted all the same is seen, and one that is refused is not.
+func TestCheckerSeesBadSubmissions(t *testing.T) {
+	for status, seen := range map[int]bool{200: true, 201: true, 400: false, 422: false, 503: false, 0: false} {
+		s, _ := idleWorld()
+		s.check.answeredBad(`{"id":"run-1"}`, status)
+		if got := len(s.check.broken) == 1 && strings.HasPrefix(s.check.broken[0], "accepted_bad"); got != seen {
+			t.Errorf("status %d: seen %t", status, got)
+		}
+	}
+}
+
+// TestCutEndsByAnyName: a controller that was cut under one name and healed under
+// another counts as cut exactly until then.
+func TestCutEndsByAnyName(t *testing.T) {
+	s, _ := idleWorld()
+	s.nodes = []*host{{s: s, name: "a"}, {s: s, name: "b"}}
+	play := func(at time.Duration, verb, what string) {
+		t.Helper()
+		line := parseStatement(verb + " " + what)
+		do := actions[verb](s, line)
+		if line.err != nil {
+			t.Fatal(line.err)
+		}
+		s.now = at
+		do()
+	}
+	play(10*time.Second, "cut", "leader state")
+	play(11*time.Second, "cut", "a peers")
+	play(20*time.Second, "heal", "all state")
+	s.now = 21 * time.Second
+	s.noteFault("while one part is cut", 0)
+	play(22*time.Second, "heal", "all peers")
+	s.now = 23 * time.Second
+	s.noteFault("after it", 0)
+	if s.overlaps("cut", "while one part is cut") != 1 || s.overlaps("cut", "after it") != 0 {
+		t.Errorf("spans: %+v", s.spans)
+	}
+}
--- a/internal/scenario/expect.go
+++ b/internal/scenario/expect.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"rockrun/internal/bookkeeping"
 	"rockrun/internal/protocol"
 )
 
@@ -33,6 +34,8 @@
 	"starts":      func(s *sim, line *statement) string { return line.bounds(s.check.starts) },
 	"late-starts": func(s *sim, line *statement) string { return line.bounds(s.check.lateOnes) },
 	"writes":      func(s *sim, line *statement) string { return line.bounds(s.store.writes) },
+	"looks":       func(s *sim, line *statement) string { return line.bounds(s.users.looks) },
+	"records":     func(s *sim, line *statement) string { return line.bounds(len(s.store.keys(bookkeeping.Prefix))) },
 	"requests":    func(s *sim, line *statement) string { return line.bounds(s.store.requests) },
 	"grants":      func(s *sim, line *statement) string { return line.bounds(s.store.grants) },
 	"cloud-calls": func(s *sim, line *statement) string { return line.bounds(s.cloud.calls) },
@@ -125,7 +128,7 @@
 
 // expectMeet: two faults really overlapped.
 func expectMeet(s *sim, line *statement) string {
-	if s.meet(line.arg(0), line.arg(1)) == 0 {
+	if s.overlaps(line.arg(0), line.arg(1)) == 0 {
 		return "they never did"
 	}
 	return ""
--- a/internal/scenario/sim.go
+++ b/internal/scenario/sim.go
@@ -60,11 +60,15 @@
 	copies  float64 // share of reports of which a late copy arrives
 
 	copyLeast, copyMost time.Duration // how late
+	keptCopies          float64       // share of reports of which a copy is kept for the next leader
+	kept                []*protocol.Report
+	lateCommands        float64 // share of direct commands that are carried out late, unanswered
+	lateLeast, lateMost time.Duration
 	drag                float64       // share of direct commands that are held up on their way there or back
 	dragMost            time.Duration // how long
-	spans               []span
+	spans               []faultSpan
 	cutZone             string        // cut off from all else; "": none
-	calm                time.Duration // when all troubles were over; 0: not yet
+	calm                time.Duration // when all faults were over; 0: not yet
 }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -72,8 +76,8 @@
 func newSim(cluster config.Cluster, options config.Options, seed uint64, log io.Writer) *sim {
 	s := &sim{
 		rand: rand.New(rand.NewPCG(seed, 7)), cluster: cluster, options: options, workers: map[string]*worker{},
-		log: slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})),
 	}
+	s.log = slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: s.virtualTime}))
 	s.store = newStore(s)
 	s.cloud = &cloud{s: s, asks: map[string][]string{}, capacity: map[poolName]int{}}
 	s.check = newChecker(s)
@@ -81,6 +85,14 @@
 	return s
 }
 
+// virtualTime lets log lines carry the time of the scenario.
+func (s *sim) virtualTime(groups []string, a slog.Attr) slog.Attr {
+	if len(groups) == 0 && a.Key == slog.TimeKey {
+		return slog.Duration("at", s.now)
+	}
+	return a
+}
+
 func (s *sim) after(d time.Duration, f func()) {
 	s.seq++
 	heap.Push(&s.queue, event{s.now + max(d, 0), s.seq, f})
@@ -122,7 +134,7 @@
 
 func (h *host) start() {
 	s := h.s
-	s.ends("down", h.name)
+	s.faultEnds("down", h.name)
 	p := &process{h: h}
 	set := &config.Settings{Node: h.name, Cluster: s.cluster}
 	for _, o := range s.nodes {
@@ -141,7 +153,7 @@
 
 func (h *host) crash() {
 	if h.p != nil {
-		h.s.begins("down", h.name)
+		h.s.faultBegins("down", h.name)
 		h.p.dead = true
 		h.p = nil
 	}
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -81,7 +81,7 @@
 	for _, key := range st.keys("") {
 		if st.items[key].Lease == id {
 			if key == bookkeeping.KeyLeader {
-				st.s.begins("leaderless", "")
+				st.s.faultBegins("leaderless", "")
 			}
 			st.revision++
 			delete(st.items, key)
@@ -145,13 +145,15 @@
 	for _, op := range t.Then {
 		if op.Put != "" {
 			if op.Put == bookkeeping.KeyLeader {
-				st.s.ends("leaderless", "")
-				st.s.trouble("election", 0)
+				st.s.faultEnds("leaderless", "")
+				st.s.noteFault("election", 0)
+				st.s.releaseCopies()
 			}
 			st.items[op.Put] = &protocol.Item{Key: op.Put, Value: op.Value, Version: st.revision, Lease: op.Lease}
 			st.record(protocol.Event{Put: op.Put, Value: op.Value, Version: st.revision})
 			if path.Dir(op.Put) == path.Dir(bookkeeping.GrantKey(0)) {
 				st.grants++
+				st.s.noteHandover()
 			}
 		} else if st.items[op.Delete] != nil {
 			delete(st.items, op.Delete)
@@ -252,7 +254,7 @@
 		if s.rand.Float64() < st.lose {
 			if s.rand.Float64() < st.late {
 				late := time.Duration(s.rand.Int64N(int64(20 * time.Second)))
-				s.trouble("late-write", late)
+				s.noteFault("late-write", late)
 				s.after(late, func() {
 					if !st.outage {
 						_, _ = st.txn(t) // whatever comes of it, nobody is told
@@ -261,6 +263,7 @@
 			} else {
 				_, _ = st.txn(t)
 			}
+			s.noteFault("lost-answer", 2*time.Second)
 			s.after(2*time.Second, l.p.guard(func() { done(0, protocol.ErrUnknown) }))
 			return nil
 		}
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -17,6 +17,11 @@
 	atEnd float64 // share of jobs that are called off at the moment of their end
 	oddID int     // odd submissions so far
 
+	closeLooks   time.Duration // until then users look closely, see lookClosely
+	cancelAtOnce float64       // share of them that cancel an accepted job at once
+
+	looks int // answers to close looks
+
 	onlyWell bool // users come to controllers that the state service serves
 }
 
@@ -55,8 +60,12 @@
 		s.after(time.Millisecond, func() { answer(coordination.Answer{}) })
 		return
 	}
-	h := up[s.rand.IntN(len(up))]
-	p := h.p
+	u.askNode(up[s.rand.IntN(len(up))].p, call, answer)
+}
+
+// askNode is ask at a certain controller.
+func (u *users) askNode(p *process, call func(n *coordination.Node, reply func(coordination.Answer)), answer func(coordination.Answer)) {
+	s := u.s
 	told := false
 	once := func(a coordination.Answer) {
 		if !told {
@@ -109,6 +118,10 @@
 			if !j.accepted {
 				j.accepted, j.acceptedAt = true, s.now
 				u.poll(j)
+				u.lookClosely(j)
+				if s.now < u.closeLooks && s.rand.Float64() < u.cancelAtOnce {
+					u.withdraw(j)
+				}
 			}
 			s.check.told(j.spec.ID, j, final, a.Body.(protocol.Receipt).Stage)
 			if j.repeats > 0 {
@@ -143,6 +156,7 @@
 			s.check.told(id, j, final, v.Stage)
 			if before == "" && j.final != "" {
 				j.finalAt = s.now
+				u.lookClosely(j)
 			}
 		case http.StatusNotFound:
 			s.check.refused(id, j, a.Status)
@@ -168,6 +182,9 @@
 		switch a.Status {
 		case http.StatusOK:
 			s.check.told(id, j, final, a.Body.(protocol.Receipt).Stage)
+			if final == "" {
+				u.lookClosely(j)
+			}
 		case http.StatusNotFound:
 			if accepted {
 				s.check.refused(id, j, a.Status)
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -200,6 +200,9 @@
 // copyReport lets a copy of a report arrive late, at any controller, whatever has
 // become of the machine.
 func (s *sim) copyReport(r *protocol.Report) {
+	if s.keptCopies > 0 && len(s.kept) < mostKept && s.rand.Float64() < s.keptCopies {
+		s.kept = append(s.kept, r)
+	}
 	if s.copies == 0 || s.rand.Float64() >= s.copies {
 		return
 	}
@@ -212,6 +215,27 @@
 	})
 }
 
+// mostKept bounds the reports that are kept for the next leader.
+const mostKept = 1000
+
+// releaseCopies lets the kept copies of reports arrive at every controller, as a
+// new leader begins.
+func (s *sim) releaseCopies() {
+	if len(s.kept) > 0 {
+		s.noteFault("kept-copies", time.Second)
+	}
+	for _, r := range s.kept {
+		for _, h := range s.nodes {
+			s.after(time.Duration(s.rand.Int64N(int64(time.Second))), func() {
+				if p := h.p; p != nil && !h.noWorkers {
+					p.guard(func() { p.node.OnReport(r, func(coordination.Answer) {}) })()
+				}
+			})
+		}
+	}
+	s.kept = nil
+}
+
 func (w *worker) next() { w.node = (w.node + 1) % len(w.s.nodes) }
 
 // heal ends a cut and delivers what was held back.
@@ -385,10 +409,21 @@
 			w.held = append(w.held, func() { w.direct(o) })
 			break
 		}
+		if s.lateCommands > 0 && s.rand.Float64() < s.lateCommands {
+			// Held up on its way, and carried out once if token and session still match.
+			late := s.lateLeast + time.Duration(s.rand.Int64N(int64(s.lateMost-s.lateLeast)+1))
+			s.noteFault("late-command", late)
+			s.after(late, func() {
+				if !w.dead && !w.hangs() {
+					w.direct(o)
+				}
+			})
+			break
+		}
 		there, back := s.delay(), time.Duration(0)
 		if s.drag > 0 && s.rand.Float64() < s.drag {
 			// Held up on its way there or back; the sender may give up meanwhile.
-			s.trouble("held-command", s.dragMost)
+			s.noteFault("held-command", s.dragMost)
 			d := time.Duration(s.rand.Int64N(int64(s.dragMost)))
 			if s.rand.IntN(2) == 0 {
 				there += d
