--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/cache_test.go
@@ -14,7 +14,7 @@
 // Whoever starts reads records in the order of their keys: completed tasks and
 // intents come before the jobs they belong to, and must not be lost.
 func TestOrderOfReading(t *testing.T) {
-	b := NewBook([]Team{{Name: "red"}}, 1)
+	b := NewCache([]Team{{Name: "red"}}, 1)
 	var done Bits
 	done.Set(0)
 	done.Set(3)
@@ -42,7 +42,7 @@
 // A job is forgotten only once nothing names it, so that no index is used for
 // two jobs at a time.
 func TestJobIsForgottenLast(t *testing.T) {
-	b := NewBook([]Team{{Name: "red"}}, 1)
+	b := NewCache([]Team{{Name: "red"}}, 1)
 	for _, r := range []struct {
 		key     string
 		value   json.RawMessage
@@ -76,7 +76,7 @@
 
 // Events that were read already, or come twice, change nothing.
 func TestOldVersionsAreIgnored(t *testing.T) {
-	b := NewBook([]Team{{Name: "red"}}, 2)
+	b := NewCache([]Team{{Name: "red"}}, 2)
 	grant := func(node string, version uint64) {
 		if err := b.Apply(GrantKey(1), Encode(GrantRecord{Node: node}), version); err != nil {
 			t.Fatal(err)
@@ -103,7 +103,7 @@
 func TestLaterAttempt(t *testing.T) {
 	old, next := PageID{Page: 5}, PageID{Page: 2}
 	for _, order := range [][]PageID{{old, next}, {next, old}} {
-		b := NewBook(nil, 1)
+		b := NewCache(nil, 1)
 		apply := func(page PageID, version uint64, entries ...string) {
 			t.Helper()
 			if err := b.Apply(IntentKey(page), Encode(IntentPage{"run-1": entries}), version); err != nil {
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -13,20 +13,20 @@
 // controller follows; a job that is over leaves it, so that what a starting
 // controller reads stays as small as the work at hand.
 const (
-	Prefix    = "r/"
-	KeyLeader = "r/leader"
-	KeyTerm   = "r/term"
-	KeyTypes  = "r/types"
-	KeyHomes  = "r/homes"
-	KeyShares = "r/shares"
-	KeyTarget = "r/target"
-	preGrant  = "r/g/"
-	preBlock  = "r/m/"
-	preIntent = "r/i/"
-	preJob    = "r/j/"
-	preDone   = "r/d/"
-	preBeat   = "r/p/"
-	preFinal  = "f/"
+	Prefix         = "r/"
+	KeyLeader      = "r/leader"
+	KeyTerm        = "r/term"
+	KeyTypes       = "r/types"
+	KeyHomes       = "r/homes"
+	KeyShares      = "r/shares"
+	KeyTarget      = "r/target"
+	prefixGrant    = "r/g/"
+	prefixBlock    = "r/m/"
+	prefixIntent   = "r/i/"
+	prefixJob      = "r/j/"
+	prefixDone     = "r/d/"
+	prefixLiveness = "r/p/"
+	prefixFinal    = "f/"
 )
 
 // ChunkTasks is how many tasks one entry of completed tasks covers; it stays
@@ -34,10 +34,10 @@
 const ChunkTasks = 8192
 
 // GrantKey is the key of a shard's grant.
-func GrantKey(shard int) string { return preGrant + strconv.Itoa(shard) }
+func GrantKey(shard int) string { return prefixGrant + strconv.Itoa(shard) }
 
 // BlockKey is the key of a block of machines.
-func BlockKey(id string) string { return preBlock + id }
+func BlockKey(id string) string { return prefixBlock + id }
 
 // PageID names a page of a shard's holder.
 type PageID struct{ Shard, Page int }
@@ -45,20 +45,20 @@
 func (p PageID) path() string { return strconv.Itoa(p.Shard) + "/" + strconv.Itoa(p.Page) }
 
 // IntentKey is the key of a page of intents.
-func IntentKey(p PageID) string { return preIntent + p.path() }
+func IntentKey(p PageID) string { return prefixIntent + p.path() }
 
 // DoneKey is the key of a page of completed tasks.
-func DoneKey(p PageID) string { return preDone + p.path() }
+func DoneKey(p PageID) string { return prefixDone + p.path() }
 
 // JobKey is the key of an unfinished job.
-func JobKey(id string) string { return preJob + id }
+func JobKey(id string) string { return prefixJob + id }
 
-// BeatKey is the key under which a controller shows that it is alive while the
+// LivenessKey is the key under which a controller shows that it is alive while the
 // leader can't hear it.
-func BeatKey(node string) string { return preBeat + node }
+func LivenessKey(node string) string { return prefixLiveness + node }
 
 // FinalKey is the key of a job that is over.
-func FinalKey(id string) string { return preFinal + id }
+func FinalKey(id string) string { return prefixFinal + id }
 
 // splitPage takes a page's key apart.
 func splitPage(path string) (PageID, bool) {
@@ -81,9 +81,9 @@
 	Term uint64 `json:"term"`
 }
 
-// BeatRecord is a sign of life of a controller that holds homes and that no
+// LivenessRecord is a liveness record of a controller that holds homes and that no
 // answer of the leader reaches.
-type BeatRecord struct {
+type LivenessRecord struct {
 	Incarnation uint64 `json:"inc"`
 }
 
@@ -155,7 +155,7 @@
 const headMark = "@"
 
 // IntentHead says in a page whose quota a job's tasks count against and how much
-// each takes. The job's own record is gone once it is withdrawn, while its tasks
+// each takes. The job's own record is gone once it is cancelled, while its tasks
 // may still be on machines that nobody can reach.
 func IntentHead(team string, cpus, gpus, memoryGB float64) string {
 	number := func(v float64) string { return " " + strconv.FormatFloat(v, 'g', -1, 64) }
--- a/internal/bookkeeping/table.go
+++ b/internal/bookkeeping/table.go
@@ -1,6 +1,6 @@
 // Package bookkeeping keeps what a controller knows: jobs, tasks, machines,
 // teams and grants, and the durable records they are read from. It does no
-// I/O; records reach it through Book.Apply and Book.Remove, in the order in
+// I/O; records reach it through Cache.Apply and Cache.Remove, in the order in
 // which the state service made the changes.
 package bookkeeping
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// A withdrawal unknown to a holder must reach the end of the worker's lease
+// A cancellation unknown to a holder must reach the end of the worker's lease
 // within the time for cancelling, with the answer's way and drift on top.
 func TestBudgets(t *testing.T) {
 	for _, w := range []Workers{{LeaseS: 30, CancelS: 60}, {LeaseS: 44, CancelS: 74}, {LeaseS: 10, CancelS: 100}, {LeaseS: 4, CancelS: 8}} {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -102,7 +102,7 @@
 // Report is the time between a worker's reports.
 func (w Workers) Report() time.Duration { return seconds(w.ReportS) }
 
-// Cancel is the time in which all tasks of a withdrawn job must be gone.
+// Cancel is the time in which all tasks of a cancelled job must be gone.
 func (w Workers) Cancel() time.Duration { return seconds(w.CancelS) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -202,8 +202,8 @@
 // way (a worker drops answers after 4 s) and for slow processes.
 const Margin = 5 * time.Second
 
-// Authority is how old a holder's knowledge of withdrawals may be while it
-// still renews workers' leases: a withdrawal it has not heard of must reach
+// Authority is how old a holder's knowledge of cancellations may be while it
+// still renews workers' leases: a cancellation it has not heard of must reach
 // the end of the worker's lease within the time for cancelling.
 func (w Workers) Authority() time.Duration {
 	spare := w.Cancel() - w.Lease()
--- a/internal/coordination/allocs_test.go
+++ b/internal/coordination/allocs_test.go
@@ -33,13 +33,13 @@
 func TestMachinesAreGoneThroughOnNeed(t *testing.T) {
 	b := newBench(t)
 	looks := func(key string, record any) bool {
-		before := b.n.book.FleetSeen
+		before := b.n.cache.FleetSeen
 		b.apply(key, record)
 		b.n.changed(true)
-		if b.n.hold.fleetSeen != b.n.book.FleetSeen {
+		if b.n.hold.fleetSeen != b.n.cache.FleetSeen {
 			t.Fatal("the holder has not looked at the last change")
 		}
-		return b.n.book.FleetSeen != before
+		return b.n.cache.FleetSeen != before
 	}
 	for i := range 5 {
 		if looks(bookkeeping.JobKey(fmt.Sprintf("run-%d", 50+i)), bookkeeping.JobRecord{Spec: protocol.Spec{
@@ -58,9 +58,9 @@
 		t.Error("the new machine is not held")
 	}
 	b.rev++
-	b.n.book.Remove(bookkeeping.JobKey("run-50"), b.rev)
+	b.n.cache.Remove(bookkeeping.JobKey("run-50"), b.rev)
 	b.n.changed(true)
-	if b.n.hold.jobsOver != b.n.book.JobsOver {
+	if b.n.hold.jobsOver != b.n.cache.JobsOver {
 		t.Error("the end of a job was not looked at")
 	}
 }
--- a/internal/coordination/blocks.go
+++ b/internal/coordination/blocks.go
@@ -11,7 +11,7 @@
 	"rockrun/internal/protocol"
 )
 
-// newBlock is a block that is not in the book yet. It keeps its name until it
+// newBlock is a block that is not in the cache yet. It keeps its name until it
 // is, so that a write without an answer can't put a machine into two blocks.
 type newBlock struct {
 	id      string
@@ -59,11 +59,11 @@
 	n := f.l.n
 	now := n.now()
 	// Machines that nobody asked for go to the home of the work that ends.
-	var last stray
+	var last orphan
 	rec := bookkeeping.BlockRecord{}
-	for _, name := range slices.Sorted(maps.Keys(f.strays)) {
-		s := f.strays[name]
-		if _, m := n.book.Machines.Find(name); m != nil && m.Block != "" || f.coming[name] {
+	for _, name := range slices.Sorted(maps.Keys(f.orphans)) {
+		s := f.orphans[name]
+		if _, m := n.cache.Machines.Find(name); m != nil && m.Block != "" || f.coming[name] {
 			continue
 		}
 		if len(rec.Machines) > 0 && (s.typ != last.typ || s.zone != last.zone || s.spot != last.spot || len(rec.Machines) >= f.blockSize(name)) {
@@ -77,9 +77,9 @@
 	if len(rec.Machines) > 0 {
 		f.block(rec)
 	}
-	clear(f.strays)
+	clear(f.orphans)
 	f.fresh = slices.DeleteFunc(f.fresh, func(b *newBlock) bool {
-		if n.book.Blocks[b.id] == nil {
+		if n.cache.Blocks[b.id] == nil {
 			return false
 		}
 		for _, e := range b.rec.Machines {
@@ -130,19 +130,19 @@
 	most := min(n.Settings.Cluster.State.TxnOps, 8)
 	var ids []string
 	for _, id := range slices.Sorted(maps.Keys(f.changes)) {
-		if !f.writing[id] && n.revision >= f.waitTo[id] && n.book.Blocks[id] != nil {
+		if !f.writing[id] && n.revision >= f.waitTo[id] && n.cache.Blocks[id] != nil {
 			ids = append(ids, id)
 		}
 	}
 	// Where many machines are lost at once there are far more changes than writes,
 	// and what replicas wait for must not queue behind the tidying up.
-	haste := map[string]int{}
+	urgency := map[string]int{}
 	for _, id := range ids {
 		for _, c := range f.changes[id] {
-			haste[id] = max(haste[id], f.haste(c))
+			urgency[id] = max(urgency[id], f.urgency(c))
 		}
 	}
-	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(haste[b], haste[a]) })
+	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(urgency[b], urgency[a]) })
 	for len(ids) > 0 {
 		batch := ids[:min(most, len(ids))]
 		ids = ids[len(batch):]
@@ -155,7 +155,7 @@
 		t := protocol.Txn{If: []protocol.Cond{f.l.cond()}}
 		grants := map[int]bool{}
 		for _, id := range batch {
-			b := n.book.Blocks[id]
+			b := n.cache.Blocks[id]
 			rec := f.changed(b, f.changes[id])
 			t.If = append(t.If, protocol.Cond{Key: bookkeeping.BlockKey(id), Version: b.Version})
 			t.Then = append(t.Then, f.l.blockOp(id, rec))
@@ -168,9 +168,9 @@
 	}
 }
 
-// haste is how much depends on a change being written soon: replicas that can't
+// urgency is how much depends on a change being written soon: replicas that can't
 // start elsewhere or wait for the machine, then other tasks, then only money.
-func (f *fleet) haste(c change) int {
+func (f *fleet) urgency(c change) int {
 	_, claimed := f.claims[c.m.Name]
 	lost := c.phase == bookkeeping.PhaseReturning || c.phase == bookkeeping.PhaseGone
 	switch {
@@ -197,7 +197,7 @@
 }
 
 func (f *fleet) grantCond(shard int) protocol.Cond {
-	return protocol.Cond{Key: bookkeeping.GrantKey(shard), Version: f.l.n.book.Grants[shard].Version}
+	return protocol.Cond{Key: bookkeeping.GrantKey(shard), Version: f.l.n.cache.Grants[shard].Version}
 }
 
 // txn carries out a transaction that writes blocks.
@@ -264,7 +264,7 @@
 	for _, k := range slices.SortedFunc(maps.Keys(f.moves), func(a, b moveKey) int {
 		return cmp.Or(cmp.Compare(a.block, b.block), cmp.Compare(a.to, b.to))
 	}) {
-		b := n.book.Blocks[k.block]
+		b := n.cache.Blocks[k.block]
 		if b == nil || f.writing[k.block] || n.revision < f.waitTo[k.block] || !n.budget.take(n.now(), 2) {
 			continue
 		}
--- a/internal/coordination/withdrawals.go
+++ b/internal/coordination/cancellations.go
@@ -7,29 +7,29 @@
 	"rockrun/internal/protocol"
 )
 
-// A withdrawal reaches every holder with the changes. Where the state service
+// A cancellation reaches every holder with the changes. Where the state service
 // refuses a holder or is away, the bound on its knowledge (see entitled) sees to
 // it that the tasks are gone in time all the same. In addition the controller that
-// confirms a withdrawal tells the others, which stop the tasks at once: stopping
+// confirms a cancellation tells the others, which stop the tasks at once: stopping
 // is always safe, whoever may hold the machines by now.
 
 // mostNotices bounds what is kept for a controller that can't be reached: when it
 // is back it has the records, or the bound has done its work.
 const mostNotices = 256
 
-// notices are withdrawals that a controller has not been told of yet.
-type notices struct {
+// cancellationNotices are cancellations that a controller has not been told of yet.
+type cancellationNotices struct {
 	ids []string
 	at  time.Duration // not told again before
 }
 
-// confirmed sees to it that the others hear of a withdrawal.
-func (n *Node) confirmed(id string) {
-	n.heardWithdrawn([]string{id})
+// cancellationConfirmed sees to it that the others hear of a cancellation.
+func (n *Node) cancellationConfirmed(id string) {
+	n.applyCancellations([]string{id})
 	for _, s := range n.Settings.Siblings {
 		w := n.notices[s.Node]
 		if w == nil {
-			w = &notices{}
+			w = &cancellationNotices{}
 			n.notices[s.Node] = w
 		}
 		if !slices.Contains(w.ids, id) {
@@ -39,8 +39,8 @@
 	}
 }
 
-// spread tells the other controllers of the withdrawals confirmed here.
-func (n *Node) spread() {
+// sendCancellations tells the other controllers of the cancellations confirmed here.
+func (n *Node) sendCancellations() {
 	now := n.now()
 	for _, s := range n.Settings.Siblings {
 		w := n.notices[s.Node]
@@ -49,7 +49,7 @@
 		}
 		sent := w.ids
 		w.ids = nil
-		n.Peers.Ask(s.Node, protocol.PeerRequest{Withdrawn: sent}, func(_ protocol.PeerAnswer, err error) {
+		n.Peers.Ask(s.Node, protocol.PeerRequest{Cancelled: sent}, func(_ protocol.PeerAnswer, err error) {
 			if err != nil && n.notices[s.Node] == w {
 				w.ids = append(sent, w.ids...)
 				w.ids = w.ids[max(0, len(w.ids)-mostNotices):]
@@ -59,10 +59,10 @@
 	}
 }
 
-// heardWithdrawn stops what is here of jobs whose withdrawal is durable.
-func (n *Node) heardWithdrawn(ids []string) {
+// applyCancellations stops what is here of jobs whose cancellation is durable.
+func (n *Node) applyCancellations(ids []string) {
 	for _, id := range ids {
-		n.book.Withdraw(id)
+		n.cache.MarkCancelled(id)
 	}
-	n.hold.halt()
+	n.hold.stopUnwanted()
 }
--- a/internal/coordination/withdrawals_test.go
+++ b/internal/coordination/cancellations_test.go
@@ -19,18 +19,18 @@
 var running = protocol.TaskStatus{Task: "run-1/0", Attempt: 9, State: protocol.TaskRunning}
 
 // The first answer of a new holder renews the lease of a machine that it has not
-// fenced yet. What it knows to be withdrawn must stop by that answer: the next may
+// fenced yet. What it knows to be cancelled must stop by that answer: the next may
 // never come, and the lease would carry the task past the time for cancelling.
 func TestRenewalStopsWithdrawn(t *testing.T) {
 	b := newBench(t, inherited)
 	b.rev++
-	b.n.book.Remove(bookkeeping.JobKey("run-1"), b.rev)
+	b.n.cache.Remove(bookkeeping.JobKey("run-1"), b.rev)
 	b.n.changed(true)
 	a := b.report(1, grantToken-1, running)
 	if a.Status != 200 || b.holding().fenced {
 		t.Fatalf("status %d, fenced %t: this is not the answer in question", a.Status, b.holding().fenced)
 	}
-	if !halted(a.Body.(protocol.Orders).Commands) {
+	if !halted(a.Body.(protocol.ReportAnswer).Commands) {
 		t.Errorf("the lease is renewed without a stop: %v", a.Body)
 	}
 	if b.on() != 1 {
@@ -39,14 +39,14 @@
 }
 
 // A controller whose knowledge is too old to renew leases still stops what it is
-// told was withdrawn, starts nothing of it, and answers no report.
+// told was cancelled, starts nothing of it, and answers no report.
 func TestToldOfWithdrawal(t *testing.T) {
 	b := newBench(t, inherited)
 	b.report(1, grantToken, running)
 	b.now += b.n.authority + time.Second
 	b.holding().inFlight = false // its earlier commands have been answered
 	b.sent = nil
-	b.n.OnPeer(protocol.PeerRequest{Withdrawn: []string{"run-1", "run-77"}}, func(protocol.PeerAnswer) {})
+	b.n.OnPeer(protocol.PeerRequest{Cancelled: []string{"run-1", "run-77"}}, func(protocol.PeerAnswer) {})
 	if len(b.sent) != 1 || !halted(b.sent[0].Commands) {
 		t.Fatalf("commands: %v", b.sent)
 	}
@@ -61,21 +61,21 @@
 	}
 }
 
-// Who confirms a withdrawal tells every other controller, again where no answer
+// Who confirms a cancellation tells every other controller, again where no answer
 // comes, and keeps no more for one that is away than a bounded number.
 func TestConfirmedWithdrawalIsSpread(t *testing.T) {
 	b := newBench(t)
 	b.n.Settings.Siblings = append(b.n.Settings.Siblings, settingsSibling("b"), settingsSibling("c"))
 	asked := map[string][]string{}
-	var fail error = protocol.ErrUnknown
+	fail := error(protocol.ErrUnknown)
 	b.n.Peers = peersFunc(func(node string, r protocol.PeerRequest, done func(protocol.PeerAnswer, error)) {
-		asked[node] = r.Withdrawn
+		asked[node] = r.Cancelled
 		done(protocol.PeerAnswer{}, fail)
 	})
-	b.n.confirmed("run-1")
+	b.n.cancellationConfirmed("run-1")
 	for range 2 {
 		clear(asked)
-		b.n.spread()
+		b.n.sendCancellations()
 		if len(asked["b"]) != 1 || len(asked["c"]) != 1 {
 			t.Fatalf("told: %v", asked)
 		}
@@ -83,12 +83,12 @@
 		fail = nil
 	}
 	clear(asked)
-	b.n.spread()
+	b.n.sendCancellations()
 	if len(asked) != 0 {
 		t.Errorf("told again: %v", asked)
 	}
 	for i := range 2 * mostNotices {
-		b.n.confirmed(protocol.TaskName("run", i))
+		b.n.cancellationConfirmed(protocol.TaskName("run", i))
 	}
 	if n := len(b.n.notices["b"].ids); n != mostNotices {
 		t.Errorf("%d are kept", n)
@@ -103,16 +103,16 @@
 	if !slices.Equal(tokens, []uint64{grantToken}) {
 		t.Fatalf("8 of 8 CPUs: %v", tokens)
 	}
-	b.n.book.Teams[0].CPUsMax = 4
+	b.n.cache.Teams[0].CPUsMax = 4
 	if tokens = b.n.hold.keepsShares(); len(tokens) != 0 {
 		t.Errorf("8 of 4 CPUs: %v", tokens)
 	}
-	b.n.book.Teams[0].CPUsMax = 8
+	b.n.cache.Teams[0].CPUsMax = 8
 	l := &leadership{n: b.n, term: 5, peers: map[string]*peerInfo{}}
-	b.n.book.Homes = 2
-	b.n.book.Grants[0].Node = "a"
-	b.n.book.Grants = append(b.n.book.Grants, bookkeeping.Grant{GrantRecord: bookkeeping.GrantRecord{Node: "b", Incarnation: 3, Token: grantToken + 1<<24}, Version: 3})
-	b.n.book.Teams[0].Shares = []int{wholeShare / 4, wholeShare / 4}
+	b.n.cache.Homes = 2
+	b.n.cache.Grants[0].Node = "a"
+	b.n.cache.Grants = append(b.n.cache.Grants, bookkeeping.Grant{GrantRecord: bookkeeping.GrantRecord{Node: "b", Incarnation: 3, Token: grantToken + 1<<24}, Version: 3})
+	b.n.cache.Teams[0].Shares = []int{wholeShare / 4, wholeShare / 4}
 	b.apply(bookkeeping.JobKey("run-5"), bookkeeping.JobRecord{Spec: protocol.Spec{
 		ID: "run-5", Team: "red", Kind: protocol.KindArray, Priority: "normal", Tasks: 2, CPUs: 4, MemoryGB: 1,
 	}})
@@ -157,7 +157,7 @@
 	b := newBench(t)
 	former := b.n.incarnation + 5
 	b.apply(bookkeeping.GrantKey(0), bookkeeping.GrantRecord{Node: "a", Incarnation: former, Token: grantToken})
-	b.n.outnumber()
+	b.n.raiseIncarnation()
 	if b.n.incarnation <= former || b.n.holds(0) {
 		t.Errorf("incarnation %d after %d", b.n.incarnation, former)
 	}
--- a/internal/coordination/orders.go
+++ b/internal/coordination/commands.go
@@ -9,39 +9,39 @@
 	"rockrun/internal/protocol"
 )
 
-// halts are the stops of all that must leave a machine. They need no fence and no
+// stopCommands are the stops of all that must leave a machine. They need no fence and no
 // entitlement: a stop that comes too late or from one that holds the machine no
 // longer meets a higher token or does no harm. Every answer that renews a worker's
 // lease carries them from the first on. Were they left out until the machine is
-// fenced, a holder that knows a job to be withdrawn could renew the lease under
+// fenced, a holder that knows a job to be cancelled could renew the lease under
 // its tasks just before it must fall silent, and they would outlast the time for
-// cancelling by as long as the withdrawal was known.
-func (h *holder) halts(x *holding) []protocol.Command {
+// cancelling by as long as the cancellation was known.
+func (h *holder) stopCommands(x *holding) []protocol.Command {
 	cmds := []protocol.Command{}
 	for _, ref := range refs(x.attempts) {
 		if a := x.attempts[ref]; a.live() && a.stop {
 			g := a.grace
-			a.halted = h.n.now()
+			a.stopSentAt = h.n.now()
 			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: protocol.TaskName(a.job.ID, a.task), Attempt: a.try, GraceS: &g})
 		}
 	}
 	return cmds
 }
 
-// orders works out the difference between what should be on a machine and what
+// commandsFor works out the difference between what should be on a machine and what
 // its last report showed.
-func (h *holder) orders(x *holding) []protocol.Command {
+func (h *holder) commandsFor(x *holding) []protocol.Command {
 	if !x.busy {
 		return []protocol.Command{}
 	}
 	if !x.fenced || !h.n.entitled(x.shard) {
-		return h.halts(x)
+		return h.stopCommands(x)
 	}
 	cmds := []protocol.Command{}
 	now := h.n.now()
 	zero := 0.0
 	reaps := false
-	extras := x.extras
+	extras := x.unexpected
 	if !x.reapDue(now) && !h.startable(x) {
 		extras = nil
 	}
@@ -79,7 +79,7 @@
 				x.token = a.token + 1 // so that its absence will prove something
 			}
 			g := a.grace
-			a.halted = now
+			a.stopSentAt = now
 			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: name, Attempt: a.try, GraceS: &g})
 		case a.state == taskPlanned && a.durable() && a.job.Wanted() && !a.inherited:
 			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStart, Task: name, Attempt: a.try})
@@ -104,32 +104,32 @@
 // reapDue reports whether what nobody asked for must go from a machine now:
 // anything but a few tasks that completed a moment ago.
 func (x *holding) reapDue(now time.Duration) bool {
-	if len(x.extras) == 0 {
+	if len(x.unexpected) == 0 {
 		return false
 	}
-	return len(x.extras) >= reapMany || now-x.reapFrom >= reapAfter ||
-		slices.ContainsFunc(x.extras, func(t protocol.TaskStatus) bool {
+	return len(x.unexpected) >= reapMany || now-x.reapFrom >= reapAfter ||
+		slices.ContainsFunc(x.unexpected, func(t protocol.TaskStatus) bool {
 			return t.State != protocol.TaskEnded || t.Cause != protocol.CauseDone
 		})
 }
 
-// push sends a machine its orders at once instead of with its next report.
+// push sends a machine its commands at once instead of with its next report.
 func (h *holder) push(x *holding) {
 	n := h.n
 	if x.inFlight {
 		x.again = true
 		return
 	}
-	if n.now() < x.mute || x.addr == "" || !x.m.There() {
+	if n.now() < x.noCommandsBefore || x.addr == "" || !x.m.There() {
 		return
 	}
-	cmds := h.orders(x)
+	cmds := h.commandsFor(x)
 	// Without a command it still shows the token to a machine that is new here.
 	if len(cmds) == 0 && (x.fenced || !n.entitled(x.shard)) {
 		return
 	}
 	x.inFlight, x.again, x.pushed = true, false, n.now()
-	o := protocol.DirectOrders{Token: x.token, Session: x.session, Commands: cmds}
+	o := protocol.CommandRequest{Token: x.token, Session: x.session, Commands: cmds}
 	n.Workers.Command(x.addr, o, func(r *protocol.Report, done bool, err error) {
 		x.inFlight = false
 		if h.machines[x.m.Name] != x || n.hold != h {
@@ -138,7 +138,7 @@
 		if err != nil {
 			// Whether it was carried out is open; the next report will tell.
 			n.Log.Debug("no answer to commands", "machine", x.m.Name, "err", err)
-			x.mute = n.now() + n.jitter(time.Second)
+			x.noCommandsBefore = n.now() + n.jitter(time.Second)
 			return
 		}
 		if r.Machine != x.m.Name || r.Token > x.token {
@@ -157,7 +157,7 @@
 // stop that still needs its proof.
 func (h *holder) unsettled(x *holding) bool {
 	// Ended ones are reaped with the next answer or start; that is soon enough.
-	if slices.ContainsFunc(x.extras, func(t protocol.TaskStatus) bool { return t.State != protocol.TaskEnded }) {
+	if slices.ContainsFunc(x.unexpected, func(t protocol.TaskStatus) bool { return t.State != protocol.TaskEnded }) {
 		return true
 	}
 	for _, a := range x.attempts {
@@ -188,7 +188,7 @@
 
 // unheeded reports whether a stop is to be sent, or to be repeated.
 func (a *attempt) unheeded(now time.Duration) bool {
-	return a.live() && a.stop && (a.halted == 0 || now-a.halted > 2*time.Second && a.state != taskSaving)
+	return a.live() && a.stop && (a.stopSentAt == 0 || now-a.stopSentAt > 2*time.Second && a.state != taskSaving)
 }
 
 // unheeded reports whether any stop on a machine is.
@@ -202,18 +202,18 @@
 	return false
 }
 
-// stopsEvery is the time between two looks at what must leave its machine: what
+// drainCheckEvery is the time between two looks at what must leave its machine: what
 // they look for takes seconds, and passes come many times a second.
-const stopsEvery = 200 * time.Millisecond
+const drainCheckEvery = 200 * time.Millisecond
 
-// stops decides which tasks must leave: those of a machine that the cloud takes
+// stopForDrains decides which tasks must leave: those of a machine that the cloud takes
 // and which can save in time, and services of machines that go back.
-func (h *holder) stops() {
+func (h *holder) stopForDrains() {
 	now := h.n.now()
-	if now < h.stopsAt {
+	if now < h.drainCheckAt {
 		return
 	}
-	h.stopsAt = now + stopsEvery
+	h.drainCheckAt = now + drainCheckEvery
 	wanted := slices.ContainsFunc(h.list, func(x *holding) bool {
 		return x.notice > 0 || x.m.Phase == bookkeeping.PhaseDrain && x.services > 0
 	})
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -35,11 +35,11 @@
 	asked     int
 	refusedAt map[pool]refusal
 
-	strays  map[string]stray                   // machines found, not in a block yet
+	orphans map[string]orphan                  // machines found, not in a block yet
 	fresh   []*newBlock                        // blocks whose record is to be made
 	coming  map[string]bool                    // machines of those
 	writing map[string]bool                    // blocks
-	waitTo  map[string]uint64                  // revision that must be in the book before a block's next write
+	waitTo  map[string]uint64                  // revision that must be in the cache before a block's next write
 	changes map[string][]change                // by block, worked out anew every tick
 	left    []demand                           // what the last cycle found no room for
 	claims  map[string]int                     // machines that drain for the work of another home
@@ -74,8 +74,8 @@
 	pause time.Duration
 }
 
-// stray is a machine that was found and not asked for.
-type stray struct {
+// orphan is a machine that was found and not asked for.
+type orphan struct {
 	addr, typ, zone string
 	spot            bool
 	atMS            int64
@@ -85,7 +85,7 @@
 	return &fleet{
 		l: l, bounds: boundsOf(l.n.Options), refusedAt: map[pool]refusal{},
 		idleSince: windows{}, movableSince: windows{}, drainSince: windows{},
-		claims: map[string]int{}, moves: map[moveKey][]*bookkeeping.Machine{}, deleted: map[string]time.Duration{}, cutOff: map[int]bool{}, unlisted: map[string]bool{}, addrs: map[string]string{}, old: map[string]bool{}, strays: map[string]stray{}, coming: map[string]bool{}, writing: map[string]bool{}, waitTo: map[string]uint64{}, changes: map[string][]change{},
+		claims: map[string]int{}, moves: map[moveKey][]*bookkeeping.Machine{}, deleted: map[string]time.Duration{}, cutOff: map[int]bool{}, unlisted: map[string]bool{}, addrs: map[string]string{}, old: map[string]bool{}, orphans: map[string]orphan{}, coming: map[string]bool{}, writing: map[string]bool{}, waitTo: map[string]uint64{}, changes: map[string][]change{},
 	}
 }
 
@@ -95,17 +95,17 @@
 func (f *fleet) tick() {
 	now := f.l.n.now()
 	f.types(now)
-	if !f.gotTypes || f.l.n.book.TypesVer == 0 {
+	if !f.gotTypes || f.l.n.cache.TypesVer == 0 {
 		return
 	}
 	clear(f.changes)
 	f.list(now)
 	f.records()
 	clear(f.moves)
-	f.tidy(now)
+	f.advanceMachines(now)
 	f.handOver()
 	f.send(now)
-	f.delete(now)
+	f.deleteReturning(now)
 	if now >= f.cycleAt {
 		f.cycleAt = now + f.cycle
 		f.size(now)
@@ -135,7 +135,7 @@
 	f.typesWrite = true
 	n.budget.force(now, 1)
 	n.State.Txn(protocol.Txn{
-		If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.KeyTypes, Version: n.book.TypesVer}},
+		If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.KeyTypes, Version: n.cache.TypesVer}},
 		Then: []protocol.Op{{Put: bookkeeping.KeyTypes, Value: bookkeeping.Encode(f.catalogue)}},
 	}, func(uint64, error) {
 		n.later(retryPause, func() { f.typesWrite = false })
@@ -145,7 +145,7 @@
 // sameTypes reports whether the durable types match but for small moves of
 // spot prices.
 func (f *fleet) sameTypes() bool {
-	b := f.l.n.book
+	b := f.l.n.cache
 	if b.TypesVer == 0 {
 		return false
 	}
@@ -166,75 +166,16 @@
 	return true
 }
 
-// list compares the cloud's list with the records: unexpected machines are
-// taken up, failed ones are given back. Absence from a list proves nothing.
-func (f *fleet) list(now time.Duration) {
-	n := f.l.n
-	if f.listing || now < f.listAt {
-		return
-	}
-	f.listing = true
-	n.Cloud.List(func(list []protocol.CloudMachine, err error) {
-		f.listing = false
-		f.listAt = n.now() + 3*time.Second
-		if !f.alive() {
-			return
-		}
-		if err != nil {
-			n.Log.Debug("machines not listed", "err", err)
-			f.listAt = n.now() + n.jitter(time.Second)
-			return
-		}
-		listed := make(map[string]bool, len(list))
-		failed := map[string]bool{}
-		for i := range list {
-			c := &list[i]
-			listed[c.Name] = true
-			_, m := n.book.Machines.Find(c.Name)
-			if m == nil || m.Block == "" {
-				at := n.Clock.Wall().UnixMilli() - int64(c.AgeS*1000)
-				f.found(c.Name, stray{c.Address, c.Type, c.Zone, c.Spot, at})
-				continue
-			}
-			if c.Stage == protocol.MachineFailed {
-				failed[c.Name] = true
-			}
-			if m.Addr == "" && c.Address != "" {
-				f.addrs[c.Name] = c.Address
-			}
-		}
-		f.failed = failed
-		// Machines are listed in the order in which they were made, and stay
-		// listed until they are gone: a list that has a later one knows them.
-		clear(f.unlisted)
-		if len(list) > 0 {
-			last := list[len(list)-1].Name
-			n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
-				if m.There() && m.Name < last && len(m.Name) == len(last) && !listed[m.Name] && f.l.age(m) > seconds(4*n.Settings.Cluster.Cloud.ListLagS) {
-					f.unlisted[m.Name] = true
-				}
-			})
-		}
-		// A record of a machine that is gone is kept until no list can name it.
-		keep := max(10*time.Minute, seconds(20*n.Settings.Cluster.Cloud.ListLagS))
-		n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
-			if m.Block != "" && m.Phase == bookkeeping.PhaseGone && !listed[m.Name] && time.Duration(n.Clock.Wall().UnixMilli()-m.GoneMS)*time.Millisecond > keep {
-				f.old[m.Name] = true
-			}
-		})
-	})
-}
-
-// stranger takes up a machine that reported and that no record names.
-func (f *fleet) stranger(r *protocol.Report) {
-	if _, m := f.l.n.book.Machines.Find(r.Machine); m == nil || m.Block == "" {
-		f.found(r.Machine, stray{r.Address, r.Type, r.Zone, r.Spot, f.l.n.Clock.Wall().UnixMilli()})
+// onOrphanReport takes up a machine that reported and that no record names.
+func (f *fleet) onOrphanReport(r *protocol.Report) {
+	if _, m := f.l.n.cache.Machines.Find(r.Machine); m == nil || m.Block == "" {
+		f.found(r.Machine, orphan{r.Address, r.Type, r.Zone, r.Spot, f.l.n.Clock.Wall().UnixMilli()})
 	}
 }
 
-func (f *fleet) found(name string, s stray) {
+func (f *fleet) found(name string, s orphan) {
 	if !f.coming[name] {
-		f.strays[name] = s
+		f.orphans[name] = s
 	}
 }
 
@@ -248,7 +189,7 @@
 		a.flying = true
 		n.Cloud.Rent(a.Rent, func(names []string, err error) {
 			a.flying = false
-			p := pool{n.book.TypeNames.Lookup(a.Type), n.book.ZoneNames.Lookup(a.Zone), a.Spot}
+			p := pool{n.cache.TypeNames.Lookup(a.Type), n.cache.ZoneNames.Lookup(a.Zone), a.Spot}
 			switch {
 			case err == nil:
 				n.Log.Info("rented", "machines", len(names), "type", a.Type, "zone", a.Zone, "spot", a.Spot, "term", f.l.term)
@@ -306,9 +247,9 @@
 	l := f.l
 	n := l.n
 	list := l.supplies()
-	share := bookedShare(list, n.book.Types)
+	share := bookedShare(list, n.cache.Types)
 	s := &sizing{
-		types: n.book.Types, zones: n.book.ZoneNames.ID, fits: n.book.Fits,
+		types: n.cache.Types, zones: n.cache.ZoneNames.ID, fits: n.cache.Fits,
 		refused: f.refused(now),
 		demands: l.demands(), supply: list, patience: n.Options.RentPatience, slack: l.slack,
 	}
@@ -347,7 +288,7 @@
 			f.asked++
 			a := &ask{shard: r.shard, Rent: protocol.Rent{
 				Request: fmt.Sprintf("r-%d-%d-%d", l.term, n.incarnation, f.asked),
-				Type:    n.book.TypeNames.Name(r.typ), Zone: n.book.ZoneNames.Name(r.zone), Spot: r.spot, Count: r.count,
+				Type:    n.cache.TypeNames.Name(r.typ), Zone: n.cache.ZoneNames.Name(r.zone), Spot: r.spot, Count: r.count,
 			}}
 			f.asks = append(f.asks, a)
 			f.note(Decision{Action: "rent", Reason: "work is blocked", Blocked: blocked, Booked: share, Fleet: len(list), Count: r.count,
@@ -375,14 +316,14 @@
 			rec.Target++
 		}
 	}
-	old := n.book.Target
+	old := n.cache.Target
 	same := old.Term == rec.Term && old.Target == rec.Target && slices.Equal(old.Drain, rec.Drain)
 	if same || f.targeting || now < f.targetAt || !n.budget.take(now, 1) {
 		return
 	}
 	f.targeting = true
 	n.State.Txn(protocol.Txn{
-		If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.KeyTarget, Version: n.book.TargetVer}},
+		If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.KeyTarget, Version: n.cache.TargetVer}},
 		Then: []protocol.Op{{Put: bookkeeping.KeyTarget, Value: bookkeeping.Encode(rec)}},
 	}, func(uint64, error) {
 		f.targeting = false
@@ -393,8 +334,8 @@
 // promised is a machine that was asked for or rented and has no record yet.
 func (f *fleet) promised(typ, zone string, spot bool, shard int) *supply {
 	n := f.l.n
-	i := n.book.TypeID(typ)
-	return newSupply(&n.book.Types[i], pool{i, n.book.ZoneNames.ID(zone), spot}, shard)
+	i := n.cache.TypeID(typ)
+	return newSupply(&n.cache.Types[i], pool{i, n.cache.ZoneNames.ID(zone), spot}, shard)
 }
 
 const historyLen = 200
@@ -424,13 +365,13 @@
 
 // Autoscaler describes the sizer's state and, on the leader, its decisions.
 func (n *Node) Autoscaler() (Status, []Decision) {
-	s := Status{Node: n.Settings.Node, Leader: n.book.Leader.Node, Term: n.book.Term, Leading: n.lead != nil, Ready: n.ready, Target: n.book.Target.Target}
-	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
+	s := Status{Node: n.Settings.Node, Leader: n.cache.Leader.Node, Term: n.cache.Term, Leading: n.lead != nil, Ready: n.ready, Target: n.cache.Target.Target}
+	n.cache.Machines.All(func(_ int, m *bookkeeping.Machine) {
 		if m.There() {
 			s.Fleet++
 		}
 	})
-	n.book.Jobs.All(func(_ int, j *bookkeeping.Job) {
+	n.cache.Jobs.All(func(_ int, j *bookkeeping.Job) {
 		if !j.Over() {
 			s.Jobs++
 			s.Blocked += j.Open()
--- /dev/null
+++ b/internal/coordination/give_up.go
@@ -0,0 +1,82 @@
+package coordination
+
+import (
+	"rockrun/internal/bookkeeping"
+	"rockrun/internal/protocol"
+	"time"
+)
+
+// giveUp returns a machine that has stopped, is silent, unresponsive or has never
+// come up.
+func (f *fleet) giveUp(m *bookkeeping.Machine, note protocol.MachineNote, known bool, counts *machineCounts) bool {
+	if why := f.giveUpReason(m, note, known, counts); why != "" {
+		f.phase(m, bookkeeping.PhaseReturning, why)
+		return true
+	}
+	return known && f.waitsForZone(m, note)
+}
+
+// neverUpAfter is the age at which a machine that was never seen is given up,
+// whether work waits or not.
+const neverUpAfter = 10 * time.Minute
+
+func (f *fleet) giveUpReason(m *bookkeeping.Machine, note protocol.MachineNote, known bool, counts *machineCounts) string {
+	n := f.l.n
+	workers := n.Settings.Cluster.Workers
+	silent := known && note.Silent > n.Options.Silence(workers)
+	switch {
+	case f.unlisted[m.Name] && known && note.Silent > workers.Report():
+		// Taken without a notice. The deletion costs nothing and settles it.
+		return "no longer listed"
+	case f.failed[m.Name]:
+		return "failed"
+	case known && f.waitsForZone(m, note):
+		return ""
+	case silent && note.Seen:
+		// Lost or hanging: the deletion's answer settles its tasks.
+		return "silent"
+	case silent && note.Tasks > 0:
+		// It was up under an earlier holder and is not heard of any more. The
+		// note itself must say that it has tasks: the records are newer, and a
+		// machine that has just come up and got its first is not silent.
+		return "silent since its holder changed"
+	case known && note.Unresponsive && counts.unresponsive[m.Shard] <= max(2, counts.held[m.Shard]/2):
+		// Were most of them unresponsive, it would be their holder that can't be heard.
+		return "hears nothing"
+	case known && !note.Seen && len(m.Intents) == 0 && note.Tasks == 0 && f.blockedSince != 0 && f.l.overdue(m) && note.Silent > 3*workers.Report():
+		// A holder that has just been granted the machine has not seen it
+		// yet either, so its own silence counts, not only the age.
+		return "never came up"
+	case silent && !note.Seen && f.l.age(m) > neverUpAfter:
+		return "never came up"
+	}
+	return ""
+}
+
+// waitsForZone reports whether a silent machine is kept since most of its zone is
+// silent: the zone is cut off, and its machines are of use again as soon as it is
+// back, sooner than any rented there instead. Replicas there run until their lease
+// is nearly out, and room elsewhere is made for them meanwhile; then they must be
+// free to start there at once.
+func (f *fleet) waitsForZone(m *bookkeeping.Machine, note protocol.MachineNote) bool {
+	lease := f.l.n.Settings.Cluster.Workers.Lease()
+	return f.cutOff[m.ZoneIdx] && (note.Seen || note.Tasks > 0) && note.Silent < 4*lease &&
+		(!f.l.serves(m) || note.Silent < lease-workerPatience/2)
+}
+
+// quietLimit is how long a machine that is well and can be heard says nothing at most,
+// and a little more. One that does may have had a report lost; most of a zone's
+// have not.
+func (l *leadership) quietLimit() time.Duration {
+	return l.n.Settings.Cluster.Workers.Report()*5/4 + 2*time.Second
+}
+
+// serves reports whether replicas may be on a machine.
+func (l *leadership) serves(m *bookkeeping.Machine) bool {
+	for ref := range m.Intents {
+		if j := l.n.cache.Jobs.Get(ref.Job); j.Standing() && !j.Over() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordination/pings.go
+++ b/internal/coordination/heartbeats.go
@@ -14,7 +14,7 @@
 	incarnation uint64
 	since       time.Duration // when it was first heard without a gap
 	heard       time.Duration
-	pinged      time.Duration // the same, by a ping: signs of life in the records say no more than that
+	pinged      time.Duration // the same, by a heartbeat: liveness records in the records say no more than that
 	confirmed   time.Duration // last time its block leases were extended
 	stale       time.Duration // how long it had not heard from the state service
 	fresh       bool
@@ -25,15 +25,15 @@
 	hears       []time.Duration // when machines of a shard were last heard there; 0: never
 }
 
-// ping tells the leader about this node. The leader tells itself.
-func (n *Node) ping() {
-	if !n.ready || n.book.LeaderVer == 0 {
+// sendHeartbeat tells the leader about this node. The leader tells itself.
+func (n *Node) sendHeartbeat() {
+	if !n.ready || n.cache.LeaderVer == 0 {
 		return
 	}
-	p := &protocol.Ping{
-		Node: n.Settings.Node, Incarnation: n.incarnation, SentAt: n.now(), Term: n.book.Leader.Term,
+	p := &protocol.Heartbeat{
+		Node: n.Settings.Node, Incarnation: n.incarnation, SentAt: n.now(), Term: n.cache.Leader.Term,
 		FreshFor: n.now() - n.freshAt, Leaving: n.stopped, Machines: n.hold.notes(),
-		Shares: n.book.SharesVer, Keeps: n.hold.keepsShares(),
+		Shares: n.cache.SharesVer, Keeps: n.hold.keepsShares(),
 	}
 	for _, at := range n.heardFrom {
 		age := time.Duration(-1)
@@ -42,26 +42,26 @@
 		}
 		p.Heard = append(p.Heard, age)
 	}
-	for _, name := range slices.Sorted(maps.Keys(n.strangers)) {
-		p.Strangers = append(p.Strangers, n.strangers[name])
+	for _, name := range slices.Sorted(maps.Keys(n.orphanReports)) {
+		p.Orphans = append(p.Orphans, n.orphanReports[name])
 	}
-	clear(n.strangers)
+	clear(n.orphanReports)
 	if n.lead != nil {
-		n.onPong(n.lead.onPing(p))
+		n.onHeartbeatReply(n.lead.onHeartbeat(p))
 		return
 	}
 	era := n.era
-	n.Peers.Ask(n.book.Leader.Node, protocol.PeerRequest{Ping: p}, func(a protocol.PeerAnswer, err error) {
-		if err == nil && a.Pong != nil && era == n.era {
-			n.onPong(a.Pong)
+	n.Peers.Ask(n.cache.Leader.Node, protocol.PeerRequest{Heartbeat: p}, func(a protocol.PeerAnswer, err error) {
+		if err == nil && a.Reply != nil && era == n.era {
+			n.onHeartbeatReply(a.Reply)
 		}
 	})
 }
 
-// onPong extends the block leases the leader has confirmed, counted from when
-// the ping was sent.
-func (n *Node) onPong(p *protocol.Pong) {
-	if !p.Leader || p.Term < n.book.Leader.Term {
+// onHeartbeatReply extends the block leases the leader has confirmed, counted from when
+// the heartbeat was sent.
+func (n *Node) onHeartbeatReply(p *protocol.HeartbeatReply) {
+	if !p.Leader || p.Term < n.cache.Leader.Term {
 		return
 	}
 	for _, s := range p.Shards {
@@ -69,50 +69,50 @@
 			n.leaseUntil[s] = max(n.leaseUntil[s], p.SentAt+n.blockLease)
 		}
 	}
-	n.pongAt, n.othersWell = n.now(), p.Well
+	n.leaderAnsweredAt, n.healthyPeers = n.now(), p.HealthyPeers
 }
 
-// well counts the controllers other than the one given that users had better come
+// healthyBesides counts the controllers other than the one given that users had better come
 // to: alive, with young knowledge, and not holding the home of the work that ends.
-func (l *leadership) well(but string) int {
+func (l *leadership) healthyBesides(but string) int {
 	n := l.n
 	count := 0
 	for _, node := range n.nodes {
 		p := l.peers[node]
-		if node != but && node != n.book.Grants[0].Node && p != nil && p.fresh && !p.left && n.now()-p.heard < aliveFor {
+		if node != but && node != n.cache.Grants[0].Node && p != nil && p.fresh && !p.left && n.now()-p.heard < aliveFor {
 			count++
 		}
 	}
 	return count
 }
 
-// beat shows in the records that this node is alive while the leader does not
+// writeLiveness shows in the records that this node is alive while the leader does not
 // answer it: where controllers can't reach each other, but all reach the state
 // service, homes stay where they are instead of gathering at the leader. The
 // write depends on the grants of the homes held, so its success extends their
-// block leases as a pong would; the leader counts from when it sees the record.
-func (n *Node) beat() {
+// block leases as a reply would; the leader counts from when it sees the record.
+func (n *Node) writeLiveness() {
 	now := n.now()
 	every := n.blockLease / 2
-	if n.lead != nil || n.book.LeaderVer == 0 || now-n.pongAt < every || now < n.beatAt {
+	if n.lead != nil || n.cache.LeaderVer == 0 || now-n.leaderAnsweredAt < every || now < n.livenessAt {
 		return
 	}
-	key := bookkeeping.BeatKey(n.Settings.Node)
+	key := bookkeeping.LivenessKey(n.Settings.Node)
 	t := protocol.Txn{
-		If:   []protocol.Cond{{Key: key, Version: n.book.Beats[n.Settings.Node].Version}},
-		Then: []protocol.Op{{Put: key, Value: bookkeeping.Encode(bookkeeping.BeatRecord{Incarnation: n.incarnation})}},
+		If:   []protocol.Cond{{Key: key, Version: n.cache.Liveness[n.Settings.Node].Version}},
+		Then: []protocol.Op{{Put: key, Value: bookkeeping.Encode(bookkeeping.LivenessRecord{Incarnation: n.incarnation})}},
 	}
 	var homes []int
-	for s := range n.book.Homes {
+	for s := range n.cache.Homes {
 		if n.holds(s) && len(t.If) < 4*n.Settings.Cluster.State.TxnOps { // conditions allowed in a transaction
 			homes = append(homes, s)
-			t.If = append(t.If, protocol.Cond{Key: bookkeeping.GrantKey(s), Version: n.book.Grants[s].Version})
+			t.If = append(t.If, protocol.Cond{Key: bookkeeping.GrantKey(s), Version: n.cache.Grants[s].Version})
 		}
 	}
 	if len(homes) == 0 {
 		return
 	}
-	n.beatAt = now + every
+	n.livenessAt = now + every
 	n.budget.force(now, 1)
 	era := n.era
 	n.State.Txn(t, func(_ uint64, err error) {
@@ -120,8 +120,8 @@
 			return
 		}
 		if err != nil {
-			n.Log.Debug("no sign of life written", "err", err)
-			n.beatAt = n.now() + n.jitter(retryPause)
+			n.Log.Debug("liveness record not written", "err", err)
+			n.livenessAt = n.now() + n.jitter(retryPause)
 			return
 		}
 		for _, s := range homes {
@@ -132,13 +132,13 @@
 	})
 }
 
-// takeBeats takes in signs of life that are new in the records.
-func (l *leadership) takeBeats() {
-	for node, b := range l.n.book.Beats {
-		if b.Version <= l.beats[node] {
+// applyLiveness takes in liveness records that are new in the records.
+func (l *leadership) applyLiveness() {
+	for node, b := range l.n.cache.Liveness {
+		if b.Version <= l.livenessSeen[node] {
 			continue
 		}
-		l.beats[node] = b.Version
+		l.livenessSeen[node] = b.Version
 		p := l.peers[node]
 		if p == nil {
 			p = &peerInfo{incarnation: b.Incarnation}
@@ -154,26 +154,26 @@
 // OnPeer answers a message from another controller.
 func (n *Node) OnPeer(r protocol.PeerRequest, reply func(protocol.PeerAnswer)) {
 	switch {
-	case r.Ping != nil:
-		if n.lead == nil || !slices.Contains(n.nodes, r.Ping.Node) {
-			reply(protocol.PeerAnswer{Pong: &protocol.Pong{}})
+	case r.Heartbeat != nil:
+		if n.lead == nil || !slices.Contains(n.nodes, r.Heartbeat.Node) {
+			reply(protocol.PeerAnswer{Reply: &protocol.HeartbeatReply{}})
 			return
 		}
-		reply(protocol.PeerAnswer{Pong: n.lead.onPing(r.Ping)})
-	case len(r.Withdrawn) > 0:
-		n.heardWithdrawn(r.Withdrawn)
+		reply(protocol.PeerAnswer{Reply: n.lead.onHeartbeat(r.Heartbeat)})
+	case len(r.Cancelled) > 0:
+		n.applyCancellations(r.Cancelled)
 		reply(protocol.PeerAnswer{})
 	default:
 		reply(protocol.PeerAnswer{})
 	}
 }
 
-// onPing takes in a controller's view and confirms what it holds.
-func (l *leadership) onPing(p *protocol.Ping) *protocol.Pong {
+// onHeartbeat takes in a controller's view and confirms what it holds.
+func (l *leadership) onHeartbeat(p *protocol.Heartbeat) *protocol.HeartbeatReply {
 	n := l.n
 	now := n.now()
-	if !l.sure() {
-		return &protocol.Pong{}
+	if !l.mayAnswer() {
+		return &protocol.HeartbeatReply{}
 	}
 	info := l.peers[p.Node]
 	if info == nil {
@@ -181,7 +181,7 @@
 		l.peers[p.Node] = info
 	}
 	if p.Incarnation < info.incarnation {
-		return &protocol.Pong{} // a late copy from an incarnation that is over
+		return &protocol.HeartbeatReply{} // a late copy from an incarnation that is over
 	}
 	if p.Incarnation > info.incarnation || now-info.heard > aliveFor {
 		info.since = now
@@ -193,7 +193,7 @@
 	for _, m := range p.Machines {
 		if m.Seen {
 			l.lastSeen[m.Name] = m
-		} else if last, ok := l.lastSeen[m.Name]; ok && last.Silent > l.quiet() {
+		} else if last, ok := l.lastSeen[m.Name]; ok && last.Silent > l.quietLimit() {
 			// It was silent before its holder changed, and goes on being so: the
 			// new holder must not begin to wait anew.
 			m.Silent += last.Silent
@@ -206,19 +206,19 @@
 			info.hears[s] = now - age
 		}
 	}
-	for i := range p.Strangers {
-		l.fleet.stranger(&p.Strangers[i])
+	for i := range p.Orphans {
+		l.fleet.onOrphanReport(&p.Orphans[i])
 	}
-	pong := &protocol.Pong{Leader: true, Term: l.term, SentAt: p.SentAt, Well: l.well(p.Node)}
-	if l.useless(info) {
-		return pong // its block leases run out
+	reply := &protocol.HeartbeatReply{Leader: true, Term: l.term, SentAt: p.SentAt, HealthyPeers: l.healthyBesides(p.Node)}
+	if l.cutOffFromState(info) {
+		return reply // its block leases run out
 	}
 	info.confirmed = now
 	for s := range n.shards {
-		g := &n.book.Grants[s]
+		g := &n.cache.Grants[s]
 		if g.Node == p.Node && g.Incarnation == p.Incarnation {
-			pong.Shards = append(pong.Shards, s)
+			reply.Shards = append(reply.Shards, s)
 		}
 	}
-	return pong
+	return reply
 }
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -11,120 +11,29 @@
 	"rockrun/internal/protocol"
 )
 
-// taskState is how far an attempt has come.
-type taskState int
-
-const (
-	taskPlanned  taskState = iota // decided here; the start may have been sent
-	taskFetching                  // seen waiting for its image or its gang
-	taskRunning
-	taskSaving
-	taskEnded // seen ended, outcome being made durable
-)
-
-// attempt is one try at a task on one machine.
-type attempt struct {
-	job       *bookkeeping.Job
-	prog      *progress
-	task      int
-	try       uint64
-	on        *holding
-	page      *page // of intents that names it; nil until one is chosen
-	width     int   // of its entry there, the machine's name aside
-	state     taskState
-	cause     string
-	token     uint64 // highest token under which a start may have been sent
-	session   uint64 // the worker's session at that time; 0: not known
-	sentAt    time.Duration
-	seen      uint64 // number of the last report that listed it
-	inherited bool   // taken over from an earlier holder, not seen yet
-	stop      bool   // wanted gone
-	grace     float64
-	halted    time.Duration // when the last stop was sent
-	planned   time.Duration
-	ran       time.Duration // when first seen running
-}
-
-func (a *attempt) ref() bookkeeping.TaskRef {
-	return bookkeeping.TaskRef{Job: a.job.Index, Task: a.task}
-}
-
-// live reports whether the task may still be on the machine.
-func (a *attempt) live() bool { return a.state != taskEnded }
-
-// durable reports whether the records name the attempt.
-func (a *attempt) durable() bool { return a.on.m.Intents[a.ref()].Try == a.try }
-
-// holding is a holder's view of one machine under its current grant.
-type holding struct {
-	m     *bookkeeping.Machine
-	addr  string // from the record or, earlier, from the worker itself
-	shard int
-	base  uint64 // token of the grant
-	token uint64 // token in use: base plus own steps
-	sent  uint64 // highest token under which a start was sent
-	// fenced: a report has shown the base token, so no command of an earlier
-	// holder can take effect any more.
-	fenced     bool
-	session    uint64
-	seq        uint64
-	since      time.Duration // when this holding began
-	heard      time.Duration // last report
-	firstHeard time.Duration // first report under this grant
-	answered   time.Duration // last time a report was answered 200
-	notice     time.Duration // when the cloud takes the machine; 0: not announced
-	extras     []protocol.TaskStatus
-	reapFrom   time.Duration // since when there are completed ones among them; 0: there are none
-	attempts   map[bookkeeping.TaskRef]*attempt
-	cpus       float64 // taken by live attempts
-	gpus       float64
-	memory     float64
-	services   float64 // CPUs of those that are replicas
-
-	busy     bool // there may be orders to send
-	inFlight bool // a direct command is on its way
-	again    bool // and another is wanted
-	mute     time.Duration
-	pushed   time.Duration
-
-	// A machine whose reports arrive may be one that no answer reaches. Where
-	// its reports give reason to think so, it is answered under a higher token,
-	// which it must show.
-	probe   uint64 // token that its reports must show
-	probeAt time.Duration
-	suspect bool // its last report did not show it
-	deaf    bool // nor did others long after
-
-	images map[int]time.Duration // when an image was last wanted here
-	errors int                   // in a row
-	pace   float64               // run times here by those of the same jobs elsewhere
-	paced  int                   // completed tasks that pace rests on
-	avoid  time.Duration         // no new tasks before
-}
-
 // holder reconciles what should be on its machines with what is.
 type holder struct {
-	n         *Node
-	machines  map[string]*holding
-	list      []*holding // the same, by name
-	desks     map[int]*desk
-	placed    map[bookkeeping.TaskRef]int // attempts of a task that are not proven over
-	jobs      map[*bookkeeping.Job]*progress
-	mine      []*bookkeeping.Job // unfinished jobs of the homes held, in the order of arrival
-	jobsSeen  uint64
-	jobsOver  uint64 // of the book, when what is held was last made to match it
-	fleetSeen uint64
-	usage     map[int][]usage // by home and team
-	ranks     [maxRank]int    // live attempts by rank
-	services  float64         // CPUs that replicas take
-	ended     []*attempt      // completed, waiting to be durable
-	ending    []*progress     // all tasks done, waiting to be durable
-	finishing int             // of those, being written
-	tries     uint64
-	turn      int // passes that placed something
-	kicked    bool
-	passAt    time.Duration // no pass before
-	stopsAt   time.Duration // no look before at what must leave its machine
+	n             *Node
+	machines      map[string]*holding
+	list          []*holding // the same, by name
+	writers       map[int]*recordWriter
+	placed        map[bookkeeping.TaskRef]int // attempts of a task that are not proven over
+	jobs          map[*bookkeeping.Job]*progress
+	mine          []*bookkeeping.Job // unfinished jobs of the homes held, in the order of arrival
+	jobsSeen      uint64
+	jobsOver      uint64 // of the cache, when what is held was last made to match it
+	fleetSeen     uint64
+	usage         map[int][]usage // by home and team
+	ranks         [maxRank]int    // live attempts by rank
+	services      float64         // CPUs that replicas take
+	ended         []*attempt      // completed, waiting to be durable
+	ending        []*progress     // all tasks done, waiting to be durable
+	finishing     int             // of those, being written
+	tries         uint64
+	placingPasses int // passes that placed something
+	passScheduled bool
+	passAt        time.Duration // no pass before
+	drainCheckAt  time.Duration // no look before at what must leave its machine
 
 	summaryAt time.Duration
 }
@@ -158,7 +67,7 @@
 
 func newHolder(n *Node) *holder {
 	return &holder{
-		n: n, machines: map[string]*holding{}, placed: map[bookkeeping.TaskRef]int{}, desks: map[int]*desk{},
+		n: n, machines: map[string]*holding{}, placed: map[bookkeeping.TaskRef]int{}, writers: map[int]*recordWriter{},
 		jobs: map[*bookkeeping.Job]*progress{}, usage: map[int][]usage{},
 	}
 }
@@ -178,17 +87,17 @@
 // are gone through only for those that change what there is to hold.
 func (h *holder) sync() {
 	n := h.n
-	fleet, over := h.fleetSeen != n.book.FleetSeen, h.jobsOver != n.book.JobsOver
-	h.fleetSeen, h.jobsOver = n.book.FleetSeen, n.book.JobsOver
+	fleet, over := h.fleetSeen != n.cache.FleetSeen, h.jobsOver != n.cache.JobsOver
+	h.fleetSeen, h.jobsOver = n.cache.FleetSeen, n.cache.JobsOver
 	if fleet {
 		h.syncMachines()
 	}
 	if !fleet && !over {
 		return
 	}
-	h.halt()
+	h.stopUnwanted()
 	for j, p := range h.jobs {
-		if j.Over() && p.attempts == 0 || h.desks[j.Home] == nil {
+		if j.Over() && p.attempts == 0 || h.writers[j.Home] == nil {
 			delete(h.jobs, j)
 		}
 	}
@@ -199,27 +108,27 @@
 	n := h.n
 	now := n.now()
 	for s := range n.shards {
-		if h.desks[s] != nil && !n.holds(s) {
-			delete(h.desks, s)
+		if h.writers[s] != nil && !n.holds(s) {
+			delete(h.writers, s)
 		}
-		if h.desks[s] == nil && n.holds(s) && s < n.book.Homes {
-			h.desks[s] = newDesk(h, s)
+		if h.writers[s] == nil && n.holds(s) && s < n.cache.Homes {
+			h.writers[s] = newRecordWriter(h, s)
 		}
 	}
 	for _, x := range slices.Clone(h.list) {
-		_, m := n.book.Machines.Find(x.m.Name)
+		_, m := n.cache.Machines.Find(x.m.Name)
 		if m == x.m && !m.There() {
 			h.settleAll(x, "machine is gone")
 		}
-		if m != x.m || !m.There() || h.desks[m.Shard] == nil || x.shard != m.Shard {
+		if m != x.m || !m.There() || h.writers[m.Shard] == nil || x.shard != m.Shard {
 			h.release(x)
 		}
 	}
-	n.book.Machines.All(func(_ int, m *bookkeeping.Machine) {
-		if !m.There() || h.desks[m.Shard] == nil {
+	n.cache.Machines.All(func(_ int, m *bookkeeping.Machine) {
+		if !m.There() || h.writers[m.Shard] == nil {
 			return
 		}
-		base := max(n.book.Grants[m.Shard].Token, m.Token)
+		base := max(n.cache.Grants[m.Shard].Token, m.Token)
 		x := h.machines[m.Name]
 		if x == nil {
 			h.adopt(m, base, now)
@@ -229,23 +138,23 @@
 	})
 }
 
-// halt stops what a withdrawn or completed job still has on machines, and what is
+// stopUnwanted stops what a cancelled or completed job still has on machines, and what is
 // on a machine that replicas of another home wait for.
-func (h *holder) halt() {
+func (h *holder) stopUnwanted() {
 	for _, x := range h.list {
-		halt := false
+		changed := false
 		for _, a := range x.attempts {
 			switch {
 			case !a.job.Wanted() && a.live() && (!a.stop || a.grace > 0):
-				a.stop, a.grace, a.halted, halt = true, 0, 0, true
+				a.stop, a.grace, a.stopSentAt, changed = true, 0, 0, true
 			case x.m.Yield && x.m.Phase == bookkeeping.PhaseDrain && !a.job.Standing() && a.live() && !a.stop:
-				a.stop, a.halted, halt = true, 0, true
+				a.stop, a.stopSentAt, changed = true, 0, true
 				if a.job.CheckpointS > 0 {
 					a.grace = a.job.SaveS
 				}
 			}
 		}
-		if halt {
+		if changed {
 			x.busy = true
 			h.push(x)
 		}
@@ -263,10 +172,10 @@
 	i, _ := slices.BinarySearchFunc(h.list, m.Name, func(y *holding, name string) int { return cmp.Compare(y.m.Name, name) })
 	h.list = slices.Insert(h.list, i, x)
 	for _, ref := range refs(m.Intents) {
-		a := &attempt{job: h.n.book.Jobs.Get(ref.Job), task: ref.Task, try: m.Intents[ref].Try, on: x, token: base - 1, inherited: true, planned: now}
+		a := &attempt{job: h.n.cache.Jobs.Get(ref.Job), task: ref.Task, try: m.Intents[ref].Try, on: x, token: base - 1, inherited: true, planned: now}
 		a.stop = !a.job.Wanted()
 		h.add(a)
-		h.desks[m.Shard].page(m.Intents[ref].Page).put(a)
+		h.writers[m.Shard].intentPageAt(m.Intents[ref].Page).put(a)
 	}
 	if len(m.Intents) > 0 {
 		x.busy = true
@@ -336,42 +245,7 @@
 	a.job.Refs--
 	a.prog.attempts--
 	a.prog.next = min(a.prog.next, a.task)
-	h.n.book.DropJob(a.job)
-}
-
-// end marks an attempt as proven over. A completed one stays until that is
-// durable; any other makes its task wait again.
-func (h *holder) end(a *attempt, cause string) {
-	if !a.live() {
-		return
-	}
-	h.charge(a, -1)
-	a.state, a.cause = taskEnded, cause
-	if cause == protocol.CauseDone && !a.job.Over() && !a.job.Standing() {
-		if p := a.prog; !p.done.Has(a.task) {
-			p.done.Set(a.task)
-			p.doneN++
-			if p.doneN >= a.job.Tasks {
-				h.ending = append(h.ending, p)
-			} else if d := h.desks[a.on.shard]; d != nil {
-				d.completed(p, a.task/bookkeeping.ChunkTasks, h.n.now())
-			}
-		}
-		h.ended = append(h.ended, a)
-		return
-	}
-	h.remove(a)
-}
-
-// settleAll ends every attempt of a machine that is proven to run nothing.
-func (h *holder) settleAll(x *holding, why string) {
-	if len(x.attempts) > 0 {
-		h.n.Log.Info("tasks lost", "machine", x.m.Name, "tasks", len(x.attempts), "why", why)
-	}
-	for _, ref := range refs(x.attempts) {
-		h.end(x.attempts[ref], "lost")
-	}
-	x.extras = nil
+	h.n.cache.DropJob(a.job)
 }
 
 func (h *holder) progress(j *bookkeeping.Job) *progress {
@@ -379,8 +253,8 @@
 	if p == nil {
 		p = &progress{job: j, done: j.Done.Clone(), doneN: j.DoneN, pages: map[int]*donePage{}, head: len(intentHead(j))}
 		h.jobs[j] = p
-		if d := h.desks[j.Home]; d != nil {
-			d.takeUp(p)
+		if d := h.writers[j.Home]; d != nil {
+			d.loadCompleted(p)
 		}
 		if !j.Over() && !j.Standing() && p.doneN >= j.Tasks {
 			h.ending = append(h.ending, p)
@@ -389,15 +263,15 @@
 	return p
 }
 
-// kick asks for a pass over all that this node holds, soon but once. A pass that
+// schedulePass asks for a pass over all that this node holds, soon but once. A pass that
 // took long is followed by a longer pause, so that reports are answered first.
-func (h *holder) kick() {
-	if h.kicked {
+func (h *holder) schedulePass() {
+	if h.passScheduled {
 		return
 	}
-	h.kicked = true
+	h.passScheduled = true
 	h.n.later(max(5*time.Millisecond, h.passAt-h.n.now()), func() {
-		h.kicked = false
+		h.passScheduled = false
 		h.pass()
 	})
 }
@@ -423,63 +297,12 @@
 	if now >= h.summaryAt {
 		h.summaryAt = now + summaryEvery
 		for s := range n.shards {
-			if h.desks[s] != nil {
+			if h.writers[s] != nil {
 				h.summary(s)
 			}
 		}
 	}
-	h.kick()
-}
-
-const summaryEvery = 10 * time.Second
-
-// summary logs how a home stands.
-func (h *holder) summary(shard int) {
-	n := h.n
-	machines, usable, full := 0, 0, 0
-	for _, x := range h.list {
-		if x.shard != shard {
-			continue
-		}
-		machines++
-		if h.usable(x, n.now()) {
-			usable++
-			if h.free(x).cpus < 1 {
-				full++
-			}
-		}
-	}
-	states := map[taskState]int{}
-	unwritten, waits := 0, 0
-	for _, x := range h.list {
-		for _, a := range x.attempts {
-			if x.shard == shard {
-				states[a.state]++
-				if !a.durable() && a.live() {
-					unwritten++
-				}
-			}
-		}
-	}
-	for _, j := range h.unfinished() {
-		if j.Home == shard {
-			p := h.progress(j)
-			waits += max(0, j.Tasks-p.doneN-p.attempts)
-		}
-	}
-	n.Log.Info("home", "shard", shard, "machines", machines, "usable", usable, "full", full, "waiting", waits,
-		"unwritten", unwritten, "planned", states[taskPlanned], "fetching", states[taskFetching], "running", states[taskRunning],
-		"saving", states[taskSaving], "ended", states[taskEnded], "pages", len(h.desks[shard].pages), "writes", n.budget.level)
-}
-
-// changing reports whether an attempt is to begin or to end on a machine.
-func (x *holding) changing() bool {
-	for _, a := range x.attempts {
-		if a.live() && (a.stop || a.state == taskPlanned) {
-			return true
-		}
-	}
-	return false
+	h.schedulePass()
 }
 
 // passPause is the least time between two passes.
@@ -492,10 +315,10 @@
 		return
 	}
 	began := n.now()
-	h.stops()
+	h.stopForDrains()
 	h.place()
 	for s := range n.shards {
-		if d := h.desks[s]; d != nil && n.entitled(s) {
+		if d := h.writers[s]; d != nil && n.entitled(s) {
 			d.flush()
 		}
 	}
@@ -528,64 +351,6 @@
 	})
 }
 
-const maxFinishing = 8
-
-// finish makes jobs durable whose tasks are all done, and lets completed
-// attempts leave their machines once that is.
-func (h *holder) finish() {
-	n := h.n
-	now := n.now()
-	h.ending = slices.DeleteFunc(h.ending, func(p *progress) bool {
-		j := p.job
-		if j.Over() || h.jobs[j] != p {
-			return true
-		}
-		if p.writing || n.revision < p.wroteAt || now < p.retryAt || !n.entitled(j.Home) || h.finishing >= maxFinishing {
-			return false
-		}
-		// Users wait for it, and there are few jobs beside tasks.
-		n.budget.force(now, 2)
-		p.writing = true
-		h.finishing++
-		n.State.Txn(protocol.Txn{
-			If: []protocol.Cond{
-				{Key: bookkeeping.JobKey(j.ID), Version: j.Version},
-				{Key: bookkeeping.GrantKey(j.Home), Version: n.book.Grants[j.Home].Version},
-			},
-			Then: []protocol.Op{
-				{Delete: bookkeeping.JobKey(j.ID)},
-				{Put: bookkeeping.FinalKey(j.ID), Value: bookkeeping.Encode(bookkeeping.FinalRecord{Stage: protocol.StageDone, Done: j.Tasks})},
-			},
-		}, func(revision uint64, err error) {
-			p.writing = false
-			h.finishing--
-			if n.hold != h {
-				return
-			}
-			if err != nil {
-				n.Log.Debug("completed job not written", "job", j.ID, "err", err)
-				p.retryAt = n.now() + n.jitter(retryPause/2)
-				return
-			}
-			p.wroteAt = revision
-			n.remember(j.ID, bookkeeping.FinalRecord{Stage: protocol.StageDone, Done: j.Tasks})
-			n.Log.Debug("job done", "job", j.ID)
-		})
-		return false
-	})
-	h.ended = slices.DeleteFunc(h.ended, func(a *attempt) bool {
-		if h.machines[a.on.m.Name] != a.on || a.on.attempts[a.ref()] != a {
-			return true
-		}
-		if !a.job.Over() && !a.job.Done.Has(a.task) {
-			return false
-		}
-		h.remove(a)
-		a.on.busy = true // it can be reaped
-		return true
-	})
-}
-
 // notes tells the leader about the machines held.
 func (h *holder) notes() []protocol.MachineNote {
 	n := h.n
@@ -596,12 +361,12 @@
 			continue
 		}
 		note := protocol.MachineNote{
-			Name: x.m.Name, Seen: x.fenced, Silent: now - min(x.heard, x.answered), Tasks: len(x.attempts), Faulty: x.errors >= 3 || x.slow(), Leaves: x.notice > 0, Deaf: x.deaf,
+			Name: x.m.Name, Seen: x.fenced, Silent: now - min(x.heard, x.answered), Tasks: len(x.attempts), Faulty: x.errors >= 3 || x.slow(), Leaves: x.notice > 0, Unresponsive: x.unresponsive,
 		}
 		if x.m.Addr == "" {
 			note.Addr = x.addr
 		}
-		if x.m.Phase == bookkeeping.PhaseDrain && len(x.attempts) == 0 && len(x.m.Intents) == 0 && !h.desks[x.shard].mayName(x) {
+		if x.m.Phase == bookkeeping.PhaseDrain && len(x.attempts) == 0 && len(x.m.Intents) == 0 && !h.writers[x.shard].mayName(x) {
 			note.Empty = x.m.Drain
 		}
 		notes = append(notes, note)
--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -19,7 +19,7 @@
 	now    time.Duration
 	timers []func()
 	txns   []protocol.Txn
-	sent   []protocol.DirectOrders
+	sent   []protocol.CommandRequest
 	rev    uint64
 }
 
@@ -34,7 +34,7 @@
 func (b *bench) EndLease(uint64, func(error))                    {}
 func (b *bench) Follow(string, uint64, time.Duration, func(protocol.Changes, error)) {
 }
-func (b *bench) Command(_ string, o protocol.DirectOrders, _ func(*protocol.Report, bool, error)) {
+func (b *bench) Command(_ string, o protocol.CommandRequest, _ func(*protocol.Report, bool, error)) {
 	b.sent = append(b.sent, o)
 }
 func (b *bench) Ask(string, protocol.PeerRequest, func(protocol.PeerAnswer, error)) {}
@@ -84,7 +84,7 @@
 func (b *bench) apply(key string, record any) {
 	b.t.Helper()
 	b.rev++
-	if err := b.n.book.Apply(key, bookkeeping.Encode(record), b.rev); err != nil {
+	if err := b.n.cache.Apply(key, bookkeeping.Encode(record), b.rev); err != nil {
 		b.t.Fatal(err)
 	}
 	b.n.revision = b.rev
@@ -161,19 +161,19 @@
 	for _, a := range x.attempts {
 		try = a.try
 	}
-	start := func() []protocol.Command { return b.report(x.seq+1, x.token).Body.(protocol.Orders).Commands }
+	start := func() []protocol.Command { return b.report(x.seq+1, x.token).Body.(protocol.ReportAnswer).Commands }
 	if cmds := start(); len(cmds) != 0 {
-		t.Fatalf("orders before the intent is durable: %v", cmds)
+		t.Fatalf("commands before the intent is durable: %v", cmds)
 	}
 	b.apply(bookkeeping.IntentKey(firstPage), bookkeeping.IntentPage{"run-1": {bookkeeping.IntentEntry(0, "m-1", try)}})
 	cmds := start()
 	if len(cmds) != 1 || cmds[0].Verb != protocol.VerbStart {
-		t.Fatalf("orders once it is: %v", cmds)
+		t.Fatalf("commands once it is: %v", cmds)
 	}
 	sent := x.sent
 	ended := protocol.TaskStatus{Task: "run-1/0", Attempt: try, State: protocol.TaskEnded, Cause: protocol.CauseDone}
 	for range 2 {
-		a := b.report(x.seq+1, x.token, ended).Body.(protocol.Orders)
+		a := b.report(x.seq+1, x.token, ended).Body.(protocol.ReportAnswer)
 		for _, c := range a.Commands {
 			if c.Verb == protocol.VerbReap {
 				t.Fatal("reaped before its completion is durable")
@@ -184,14 +184,14 @@
 	b.apply(bookkeeping.DoneKey(firstPage), bookkeeping.DonePage{bookkeeping.DoneName("run-1", 0): {1}})
 	b.n.hold.pass()
 	// It waits for company for a while, and then goes by itself.
-	if a := b.report(x.seq+1, x.token, ended).Body.(protocol.Orders); len(a.Commands) != 0 {
-		t.Fatalf("orders as soon as it is durable: %v", a.Commands)
+	if a := b.report(x.seq+1, x.token, ended).Body.(protocol.ReportAnswer); len(a.Commands) != 0 {
+		t.Fatalf("commands as soon as it is durable: %v", a.Commands)
 	}
 	b.now += reapAfter
 	b.fresh()
-	a := b.report(x.seq+1, x.token, ended).Body.(protocol.Orders)
+	a := b.report(x.seq+1, x.token, ended).Body.(protocol.ReportAnswer)
 	if len(a.Commands) == 0 || a.Commands[0].Verb != protocol.VerbReap {
-		t.Fatalf("orders after it is durable: %v", a.Commands)
+		t.Fatalf("commands after it is durable: %v", a.Commands)
 	}
 	if a.Token <= sent {
 		t.Errorf("the reap's token %d does not fence the start's %d", a.Token, sent)
@@ -261,24 +261,24 @@
 	}
 }
 
-// Two reads of the changes may be answered in the wrong order. What the book has
+// Two reads of the changes may be answered in the wrong order. What the cache has
 // seen removed must not come back with the older answer.
 func TestAnswersOutOfOrder(t *testing.T) {
 	b := newBench(t)
 	rec := bookkeeping.Encode(bookkeeping.JobRecord{Spec: protocol.Spec{ID: "run-7", Team: "red", Kind: protocol.KindArray, Priority: "normal", Tasks: 1, CPUs: 1}})
 	put := protocol.Event{Put: bookkeeping.JobKey("run-7"), Value: rec, Version: b.rev + 1}
 	gone := protocol.Event{Remove: bookkeeping.JobKey("run-7"), Version: b.rev + 2}
-	b.n.takeIn(protocol.Changes{Revision: b.rev + 2, Events: []protocol.Event{put, gone}}, b.now)
-	b.n.takeIn(protocol.Changes{Revision: b.rev + 1, Events: []protocol.Event{put}}, b.now)
-	if _, j := b.n.book.Jobs.Find("run-7"); j != nil && !j.Over() {
+	b.n.applyChanges(protocol.Changes{Revision: b.rev + 2, Events: []protocol.Event{put, gone}}, b.now)
+	b.n.applyChanges(protocol.Changes{Revision: b.rev + 1, Events: []protocol.Event{put}}, b.now)
+	if _, j := b.n.cache.Jobs.Find("run-7"); j != nil && !j.Over() {
 		t.Error("a removed job came back")
 	}
 	block := bookkeeping.BlockKey("c")
 	in := protocol.Event{Put: block, Value: bookkeeping.Encode(bookkeeping.BlockRecord{Type: "small", Zone: "z", Machines: []bookkeeping.BlockMachine{{Name: "m-9"}}}), Version: b.rev + 3}
 	out := protocol.Event{Remove: block, Version: b.rev + 4}
-	b.n.takeIn(protocol.Changes{Revision: b.rev + 4, Events: []protocol.Event{in, out}}, b.now)
-	b.n.takeIn(protocol.Changes{Revision: b.rev + 3, Events: []protocol.Event{in}}, b.now)
-	if _, m := b.n.book.Machines.Find("m-9"); m != nil && m.There() {
+	b.n.applyChanges(protocol.Changes{Revision: b.rev + 4, Events: []protocol.Event{in, out}}, b.now)
+	b.n.applyChanges(protocol.Changes{Revision: b.rev + 3, Events: []protocol.Event{in}}, b.now)
+	if _, m := b.n.cache.Machines.Find("m-9"); m != nil && m.There() {
 		t.Error("a machine whose block was removed came back")
 	}
 }
@@ -326,8 +326,8 @@
 	for _, a := range x.attempts {
 		b.apply(bookkeeping.IntentKey(firstPage), bookkeeping.IntentPage{"run-1": {bookkeeping.IntentEntry(0, "m-1", a.try)}})
 	}
-	if cmds := b.report(2, grantToken).Body.(protocol.Orders).Commands; len(cmds) != 1 {
-		t.Fatalf("orders: %v", cmds)
+	if cmds := b.report(2, grantToken).Body.(protocol.ReportAnswer).Commands; len(cmds) != 1 {
+		t.Fatalf("commands: %v", cmds)
 	}
 	b.report(3, grantToken)
 	if b.on() != 1 {
@@ -384,7 +384,7 @@
 // one's, and does not take the term up again while its record is still there.
 func TestLastToken(t *testing.T) {
 	b := newBench(t)
-	b.n.claims[7] = true
+	b.n.candidateLeases[7] = true
 	b.apply(bookkeeping.KeyLeader, bookkeeping.LeaderRecord{Node: "a", Incarnation: b.n.incarnation, Term: 5, Lease: 7})
 	b.n.changed(true)
 	l := b.n.lead
@@ -395,7 +395,7 @@
 	if top := l.token(); top>>termShift != 5 {
 		t.Errorf("token %x is not of term 5", top)
 	}
-	l.touched = b.now
+	l.renewedAt = b.now
 	l.tick()
 	b.n.changed(true)
 	if b.n.lead != nil {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -1,152 +1,15 @@
 package coordination
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"slices"
 	"time"
 
 	"rockrun/internal/bookkeeping"
-	"rockrun/internal/config"
 	"rockrun/internal/protocol"
 )
 
-// waiting is a job with tasks to place.
-type waiting struct {
-	job    *bookkeeping.Job
-	prog   *progress
-	within bool    // fits into its team's guarantee with the team's earlier jobs
-	starve bool    // nothing of it has begun for too long
-	late   bool    // too late to be of the use its owner hoped for
-	aged   bool    // and has been for long
-	claim  float64 // work left by the time it has waited; the least goes first
-}
-
-// order sorts jobs into the order in which they get machines: by priority, work
-// within a guarantee before borrowed share, jobs that can still be in time
-// before those that can't. Among equals it is the work left, weighed against
-// the time waited: where not all can be in time, small jobs let more of them be,
-// and no large one waits for ever.
-//
-// Where more is asked for than can be done, work that is late would wait for
-// ever behind what is not, or all would be late if it went first. So what has
-// been late for long takes turns with the rest, the oldest first.
-func order(list []waiting, agedFirst bool) {
-	slices.SortStableFunc(list, func(a, b waiting) int {
-		return cmp.Or(
-			cmp.Compare(a.job.Rank(), b.job.Rank()),
-			compareBool(b.starve, a.starve),
-			compareBool(b.within, a.within),
-			compareBool(a.aged != agedFirst, b.aged != agedFirst),
-			compareBool(a.late, b.late),
-			cmp.Compare(a.claim, b.claim),
-			cmp.Compare(a.job.AtMS, b.job.AtMS),
-			cmp.Compare(a.job.ID, b.job.ID),
-		)
-	})
-}
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
-// rate works out a job's claim, and whether it is late or starves, from how many
-// tasks are left of it and whether any has begun.
-func (w *waiting) rate(left int, begun bool, aims []config.Objective, nowMS int64) {
-	j := w.job
-	age := float64(nowMS-j.AtMS) / 1000
-	w.starve = !begun && age > bound
-	if j.Standing() {
-		return
-	}
-	w.claim = float64(left) * max(j.CPUs, 0.1) * runS(j) / (age + runS(j))
-	last := j.DeadlineS
-	for _, o := range aims {
-		switch {
-		case o.Class != j.Class:
-		case o.Kind == "finished" && j.DeadlineS == 0:
-			last = o.WithinS
-		case o.Kind == "deadline" && j.DeadlineS > 0:
-			last = max(last, j.DeadlineS*o.Times)
-		}
-	}
-	w.late = last > 0 && age+runS(j) > last
-	if w.aged = last > 0 && age > last+bound; w.aged {
-		w.claim = 0 // by arrival
-	}
-}
-
-// bound is how long a job may be put behind others of its rank. Work that
-// nothing has begun of by then goes first, and what has been late for so long
-// takes turns with what is not: else large jobs would starve for as long as more
-// is asked for than can be done.
-const bound = 100.0 // seconds
-
-// agedTurn is in how many passes that place something work that has been late
-// for long goes first once.
-const agedTurn = 3
-
-// unfinished lists the unfinished jobs of the homes held, in the order of arrival.
-func (h *holder) unfinished() []*bookkeeping.Job {
-	n := h.n
-	if h.jobsSeen != n.book.JobsSeen {
-		h.jobsSeen = n.book.JobsSeen
-		h.mine = h.mine[:0]
-		n.book.Jobs.All(func(_ int, j *bookkeeping.Job) {
-			if j.Wanted() {
-				h.mine = append(h.mine, j)
-			}
-		})
-		slices.SortFunc(h.mine, func(a, b *bookkeeping.Job) int {
-			return cmp.Or(cmp.Compare(a.AtMS, b.AtMS), cmp.Compare(a.ID, b.ID))
-		})
-	}
-	h.mine = slices.DeleteFunc(h.mine, func(j *bookkeeping.Job) bool { return !j.Wanted() })
-	return h.mine
-}
-
-// waitingJobs lists the jobs of the homes held with open tasks, in order.
-func (h *holder) waitingJobs(now time.Duration) []waiting {
-	n := h.n
-	var list []waiting
-	booked := map[int][]usage{}
-	nowMS := n.Clock.Wall().UnixMilli()
-	for _, j := range h.unfinished() {
-		if h.desks[j.Home] == nil || !n.entitled(j.Home) {
-			continue
-		}
-		if booked[j.Home] == nil {
-			booked[j.Home] = make([]usage, len(n.book.Teams))
-		}
-		t := &n.book.Teams[j.TeamIdx]
-		p := h.progress(j)
-		open := float64(j.Tasks - p.doneN)
-		b := &booked[j.Home][j.TeamIdx]
-		within := t.Guaranteed && b.cpus+open*j.CPUs <= n.book.Share(t, j.Home, t.CPUs)+1e-6 &&
-			(j.GPUs == 0 || b.gpus+open*j.GPUs <= n.book.Share(t, j.Home, t.GPUs)+1e-6)
-		b.cpus += open * j.CPUs
-		b.gpus += open * j.GPUs
-		p.within = within
-		if now < p.backoff || h.nextOpen(j, p) < 0 {
-			continue
-		}
-		w := waiting{job: j, prog: p, within: within}
-		w.rate(j.Tasks-p.doneN, p.attempts > 0 || p.doneN > 0, n.Settings.Cluster.Objectives, nowMS)
-		p.starved = p.starved || w.starve
-		list = append(list, w)
-	}
-	order(list, h.turn%agedTurn == agedTurn-1)
-	return list
-}
-
 // nextOpen returns the first task of a job that waits to be placed, or -1.
 func (h *holder) nextOpen(j *bookkeeping.Job, p *progress) int {
 	for ; p.next < j.Tasks; p.next++ {
@@ -206,7 +69,7 @@
 		}
 	}
 	if placed {
-		h.turn++
+		h.placingPasses++
 	}
 }
 
@@ -231,7 +94,7 @@
 // in the high bits, a counter of this holder's in the low ones.
 func (h *holder) nextTry(x *holding) uint64 {
 	h.tries++
-	return h.n.book.Grants[x.shard].Token>>counterShift<<counterShift | h.tries&(1<<counterShift-1)
+	return h.n.cache.Grants[x.shard].Token>>counterShift<<counterShift | h.tries&(1<<counterShift-1)
 }
 
 // plan makes a new attempt at a task.
@@ -239,7 +102,7 @@
 	a := &attempt{job: j, task: task, on: x, planned: now, try: try}
 	_, cached := x.images[j.ImageIdx]
 	h.add(a)
-	h.desks[x.shard].adds = append(h.desks[x.shard].adds, a)
+	h.writers[x.shard].unassigned = append(h.writers[x.shard].unassigned, a)
 	if h.n.Log.Enabled(context.Background(), slog.LevelDebug) {
 		h.n.Log.Debug("place", "job", j.ID, "task", task, "machine", x.m.Name, "cached", cached, "image", j.Image,
 			"waited_ms", h.n.Clock.Wall().UnixMilli()-j.AtMS)
@@ -277,7 +140,7 @@
 // underLimit reports whether one more task of a job keeps its home's share of the
 // team's limit. Everything that may be on a machine counts.
 func (h *holder) underLimit(j *bookkeeping.Job) bool {
-	b := h.n.book
+	b := h.n.cache
 	t, u := &b.Teams[j.TeamIdx], h.used(j.Home)[j.TeamIdx]
 	return keeps(u.cpus+j.CPUs, t.CPUsMax, b.Share(t, j.Home, t.CPUsMax)) && keeps(u.gpus+j.GPUs, t.GPUsMax, b.Share(t, j.Home, t.GPUsMax))
 }
@@ -290,7 +153,7 @@
 // that holds several: the shards may part again, and whoever holds a home must
 // hold everything that its jobs may be on, or it would not count it.
 func (h *holder) allowed(x *holding, j *bookkeeping.Job, p *progress) bool {
-	if x.shard != j.Home || !h.n.book.Suits(j, x.m) {
+	if x.shard != j.Home || !h.n.cache.Suits(j, x.m) {
 		return false
 	}
 	if !j.OneZone && !j.Spread {
@@ -341,7 +204,7 @@
 }
 
 func (h *holder) free(x *holding) room {
-	t := &h.n.book.Types[x.m.TypeIdx]
+	t := &h.n.cache.Types[x.m.TypeIdx]
 	return room{t.CPUs - x.cpus, t.GPUs - x.gpus, t.MemoryGB - x.memory}
 }
 
@@ -363,7 +226,7 @@
 		if x.m.Spot {
 			score += 1000
 		}
-		t := &h.n.book.Types[x.m.TypeIdx]
+		t := &h.n.cache.Types[x.m.TypeIdx]
 		if _, cached := x.images[j.ImageIdx]; cached {
 			score += 100
 		} else if t.FetchGBPS > 0 {
@@ -390,109 +253,9 @@
 // has reports whether a machine still lists an earlier attempt at a task that is
 // not reaped; a start of another attempt would be refused.
 func has(x *holding, j *bookkeeping.Job, task int) bool {
-	if len(x.extras) == 0 {
+	if len(x.unexpected) == 0 {
 		return false
 	}
 	name := protocol.TaskName(j.ID, task)
-	return slices.ContainsFunc(x.extras, func(t protocol.TaskStatus) bool { return t.Task == name })
-}
-
-// mayStop reports whether work may be stopped to make room for a waiting job.
-func (h *holder) mayStop(w waiting, a *attempt) bool {
-	if a.job.Rank() > w.job.Rank() {
-		return true
-	}
-	// Guaranteed share comes before what another team has borrowed. A service is
-	// never stopped for it: not for batch work, and one for another gains nobody
-	// anything, least of all when machines are lost and they take turns.
-	// Nor is what is within its own team's guarantee, or has starved before: it
-	// would take the room back, and the two would stop each other for ever.
-	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Standing() || a.prog.within || a.prog.starved {
-		return false
-	}
-	b := h.n.book
-	t := &b.Teams[a.job.TeamIdx]
-	return h.used(a.job.Home)[a.job.TeamIdx].cpus-a.job.CPUs >= b.Share(t, a.job.Home, t.CPUs)
-}
-
-// mayMakeRoom reports whether there can be anything that may be stopped for a
-// job, before every machine is looked at.
-func (h *holder) mayMakeRoom(w waiting) bool {
-	for rank := w.job.Rank() + 1; rank < maxRank; rank++ {
-		if h.ranks[rank] > 0 {
-			return true
-		}
-	}
-	if !w.within {
-		return false
-	}
-	b := h.n.book
-	for i, u := range h.used(w.job.Home) {
-		if t := &b.Teams[i]; i != w.job.TeamIdx && u.cpus > b.Share(t, w.job.Home, t.CPUs) {
-			return true
-		}
-	}
-	return false
-}
-
-// makeRoom stops the least work that lets one task of a job start; false when
-// nothing can be done.
-func (h *holder) makeRoom(w waiting, promised map[*holding]*room, now time.Duration) bool {
-	var best *holding
-	var victims []*attempt
-	var left room // on the best, with its victims gone
-	bestCost := 0.0
-	for _, x := range h.list {
-		if !h.usable(x, now) || !h.allowed(x, w.job, w.prog) {
-			continue
-		}
-		r := h.free(x)
-		if p := promised[x]; p != nil {
-			r = *p
-		} else {
-			for _, a := range x.attempts {
-				if a.live() && a.stop {
-					r.leave(a.job)
-				}
-			}
-		}
-		var list []*attempt
-		for _, a := range x.attempts {
-			if a.live() && !a.stop && h.mayStop(w, a) {
-				list = append(list, a)
-			}
-		}
-		slices.SortFunc(list, func(a, b *attempt) int {
-			return cmp.Or(cmp.Compare(b.job.Rank(), a.job.Rank()), cmp.Compare(b.planned, a.planned), cmp.Compare(a.try, b.try), cmp.Compare(a.task, b.task))
-		})
-		cost := 0.0
-		var chosen []*attempt
-		for _, a := range list {
-			if r.fits(w.job) {
-				break
-			}
-			r.leave(a.job)
-			cost += 1 + a.job.CPUs*(now-a.planned).Seconds()
-			chosen = append(chosen, a)
-		}
-		if !r.fits(w.job) {
-			continue
-		}
-		if best == nil || cost < bestCost {
-			best, victims, left, bestCost = x, chosen, r, cost
-		}
-	}
-	if best == nil {
-		return false
-	}
-	for _, a := range victims {
-		a.stop, a.halted, best.busy = true, 0, true
-		if a.job.CheckpointS > 0 {
-			a.grace = a.job.SaveS
-		}
-		h.n.Log.Info("preempt", "job", a.job.ID, "task", a.task, "machine", best.m.Name, "for", w.job.ID)
-	}
-	left.take(w.job)
-	promised[best] = &left
-	return true
+	return slices.ContainsFunc(x.unexpected, func(t protocol.TaskStatus) bool { return t.Task == name })
 }
--- /dev/null
+++ b/internal/coordination/preemption.go
@@ -0,0 +1,107 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// mayStop reports whether work may be stopped to make room for a waiting job.
+func (h *holder) mayStop(w waiting, a *attempt) bool {
+	if a.job.Rank() > w.job.Rank() {
+		return true
+	}
+	// Guaranteed share comes before what another team has borrowed. A service is
+	// never stopped for it: not for batch work, and one for another gains nobody
+	// anything, least of all when machines are lost and they take turns.
+	// Nor is what is within its own team's guarantee, or has starved before: it
+	// would take the room back, and the two would stop each other for ever.
+	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Standing() || a.prog.within || a.prog.starved {
+		return false
+	}
+	b := h.n.cache
+	t := &b.Teams[a.job.TeamIdx]
+	return h.used(a.job.Home)[a.job.TeamIdx].cpus-a.job.CPUs >= b.Share(t, a.job.Home, t.CPUs)
+}
+
+// mayMakeRoom reports whether there can be anything that may be stopped for a
+// job, before every machine is looked at.
+func (h *holder) mayMakeRoom(w waiting) bool {
+	for rank := w.job.Rank() + 1; rank < maxRank; rank++ {
+		if h.ranks[rank] > 0 {
+			return true
+		}
+	}
+	if !w.within {
+		return false
+	}
+	b := h.n.cache
+	for i, u := range h.used(w.job.Home) {
+		if t := &b.Teams[i]; i != w.job.TeamIdx && u.cpus > b.Share(t, w.job.Home, t.CPUs) {
+			return true
+		}
+	}
+	return false
+}
+
+// makeRoom stops the least work that lets one task of a job start; false when
+// nothing can be done.
+func (h *holder) makeRoom(w waiting, promised map[*holding]*room, now time.Duration) bool {
+	var best *holding
+	var victims []*attempt
+	var left room // on the best, with its victims gone
+	bestCost := 0.0
+	for _, x := range h.list {
+		if !h.usable(x, now) || !h.allowed(x, w.job, w.prog) {
+			continue
+		}
+		r := h.free(x)
+		if p := promised[x]; p != nil {
+			r = *p
+		} else {
+			for _, a := range x.attempts {
+				if a.live() && a.stop {
+					r.leave(a.job)
+				}
+			}
+		}
+		var list []*attempt
+		for _, a := range x.attempts {
+			if a.live() && !a.stop && h.mayStop(w, a) {
+				list = append(list, a)
+			}
+		}
+		slices.SortFunc(list, func(a, b *attempt) int {
+			return cmp.Or(cmp.Compare(b.job.Rank(), a.job.Rank()), cmp.Compare(b.planned, a.planned), cmp.Compare(a.try, b.try), cmp.Compare(a.task, b.task))
+		})
+		cost := 0.0
+		var chosen []*attempt
+		for _, a := range list {
+			if r.fits(w.job) {
+				break
+			}
+			r.leave(a.job)
+			cost += 1 + a.job.CPUs*(now-a.planned).Seconds()
+			chosen = append(chosen, a)
+		}
+		if !r.fits(w.job) {
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, victims, left, bestCost = x, chosen, r, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, a := range victims {
+		a.stop, a.stopSentAt, best.busy = true, 0, true
+		if a.job.CheckpointS > 0 {
+			a.grace = a.job.SaveS
+		}
+		h.n.Log.Info("preempt", "job", a.job.ID, "task", a.task, "machine", best.m.Name, "for", w.job.ID)
+	}
+	left.take(w.job)
+	promised[best] = &left
+	return true
+}
--- /dev/null
+++ b/internal/coordination/record_batch.go
@@ -0,0 +1,96 @@
+package coordination
+
+import (
+	"errors"
+	"rockrun/internal/bookkeeping"
+	"rockrun/internal/protocol"
+	"time"
+)
+
+// batch is a transaction with the pages that it writes.
+type batch struct {
+	txn   protocol.Txn
+	pages []*intentPage
+	done  []*donePage
+}
+
+func (b *batch) states() []*pageState {
+	var states []*pageState
+	for _, p := range b.pages {
+		states = append(states, &p.pageState)
+	}
+	for _, p := range b.done {
+		states = append(states, &p.pageState)
+	}
+	return states
+}
+
+// add puts one changed page into the transaction.
+func (b *batch) add(key string, version uint64, op protocol.Op) {
+	b.txn.If = append(b.txn.If, protocol.Cond{Key: key, Version: version})
+	b.txn.Then = append(b.txn.Then, op)
+}
+
+// dueWrites collects the pages that are to be written now: completed tasks first.
+// There are never more than there are writes for: waiting for a few at once, this
+// would starve beside others that take one or two as they come.
+func (d *recordWriter) dueWrites(now time.Duration) *batch {
+	n := d.h.n
+	n.budget.fill(now)
+	b := &batch{}
+	b.txn.If = []protocol.Cond{{Key: bookkeeping.GrantKey(d.shard), Version: n.cache.Grants[d.shard].Version}}
+	most := min(n.Settings.Cluster.State.TxnOps, d.most, max(1, int(n.budget.level)))
+	for _, p := range d.done {
+		if p.dirtyAt == 0 && n.cache.StaleDone(p.id) {
+			p.dirtyAt = now
+		}
+		if len(b.txn.Then) >= most || !p.idle(n) || p.dirtyAt == 0 || now-p.dirtyAt <= doneAfter {
+			continue
+		}
+		if op, any := d.completedTasks(p); any {
+			b.done = append(b.done, p)
+			b.add(bookkeeping.DoneKey(p.id), n.cache.DoneVersion(p.id), op)
+		}
+	}
+	spare := n.budget.level > n.budget.rate/2 // removals alone wait until others need no writes
+	for _, p := range d.pages {
+		stale := p.dirtyAt > 0 && spare && now-p.dirtyAt > staleAfter
+		if len(b.txn.Then) >= most || !p.idle(n) || !p.dirty && !stale {
+			continue
+		}
+		version := n.cache.IntentVersion(p.id)
+		if len(p.attempts) > 0 || version != 0 {
+			b.pages = append(b.pages, p)
+			b.add(bookkeeping.IntentKey(p.id), version, d.intents(p))
+		}
+	}
+	return b
+}
+
+// written takes in how a write ended.
+func (d *recordWriter) written(b *batch, revision uint64, err error) {
+	h, n := d.h, d.h.n
+	if n.hold != h || h.writers[d.shard] != d {
+		return
+	}
+	for _, s := range b.states() {
+		s.writing = false
+		if err == nil {
+			s.wroteAt = revision
+		} else {
+			s.dirty, s.dirtyAt, s.retryAt = true, max(1, n.now()-staleAfter), n.now()+n.jitter(retryPause/2)
+		}
+	}
+	if err == nil {
+		d.most = min(d.most+1, mostChanges)
+	} else {
+		n.Log.Debug("pages not written", "shard", d.shard, "err", err)
+		// Where all controllers together ask for more writes than there are, small
+		// transactions get through and large ones starve.
+		d.most = max(1, d.most/2)
+		for _, p := range b.pages {
+			p.unknown = p.unknown || errors.Is(err, protocol.ErrUnknown)
+		}
+	}
+	h.schedulePass()
+}
--- a/internal/coordination/desk.go
+++ b/internal/coordination/record_writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"slices"
 	"time"
 
@@ -10,25 +9,25 @@
 	"rockrun/internal/protocol"
 )
 
-// desk writes the records of one home: pages of intents, which name every task
+// recordWriter writes the records of one home: pages of intents, which name every task
 // that may be on a machine, and pages of completed tasks. Many tasks share a
-// value and a beat's changes share a transaction, so the writes follow the
-// beats and not the number of tasks.
+// value and all changes of a pass share a transaction, so the number of writes follows
+// the passes and not the tasks.
 //
 // Every write depends on the grant and on the version of the page that it
 // replaces, so that at most one holder's pages can ever change, and a
 // transaction that is applied late finds its condition broken by any later one.
-type desk struct {
-	h       *holder
-	shard   int
-	pages   []*page
-	done    []*donePage
-	adds    []*attempt // not on a page yet
-	flushAt time.Duration
-	most    int // changes in a transaction; fewer after a refusal
+type recordWriter struct {
+	h          *holder
+	shard      int
+	pages      []*intentPage
+	done       []*donePage
+	unassigned []*attempt // not on a page yet
+	flushAt    time.Duration
+	most       int // changes in a transaction; fewer after a refusal
 }
 
-// Times of a desk. Removals and completed tasks wait for company; new intents
+// Times of a record writer. Removals and completed tasks wait for company; new intents
 // don't, but for the pause that the budget of writes asks for.
 const (
 	flushPause = 40 * time.Millisecond
@@ -39,27 +38,27 @@
 	looseness   = 3 // pages for each that the entries would fill
 )
 
-// sheet is what pages of both kinds have in common.
-type sheet struct {
+// pageState is what pages of both kinds have in common.
+type pageState struct {
 	id      bookkeeping.PageID
 	bytes   int
 	dirty   bool
 	dirtyAt time.Duration // since when something may be removed or added at leisure; 0: nothing
 	writing bool
-	wroteAt uint64 // revision that must be in the book before the next write
+	wroteAt uint64 // revision that must be in the cache before the next write
 	retryAt time.Duration
 }
 
-func (s *sheet) idle(n *Node) bool {
+func (s *pageState) idle(n *Node) bool {
 	return !s.writing && n.revision >= s.wroteAt && n.now() >= s.retryAt
 }
 
-// page is a page of intents.
-type page struct {
-	sheet
+// intentPage is a intentPage of intents.
+type intentPage struct {
+	pageState
 	attempts map[*attempt]bool
 	jobs     map[*bookkeeping.Job]int // attempts by job
-	// Machines that a write names whose outcome the book does not show yet. A
+	// Machines that a write names whose outcome the cache does not show yet. A
 	// write without an answer can be applied until the page has a new version.
 	named   map[*holding]bool
 	unknown bool
@@ -68,7 +67,7 @@
 
 // donePage is a page of completed tasks.
 type donePage struct {
-	sheet
+	pageState
 	chunks map[doneChunk]bool
 }
 
@@ -77,55 +76,55 @@
 	chunk int
 }
 
-func newDesk(h *holder, shard int) *desk {
-	d := &desk{h: h, shard: shard, most: mostChanges}
-	h.n.book.IntentPages(shard, func(k, entries int) {
-		p := d.page(k)
+func newRecordWriter(h *holder, shard int) *recordWriter {
+	d := &recordWriter{h: h, shard: shard, most: mostChanges}
+	h.n.cache.IntentPages(shard, func(k, entries int) {
+		p := d.intentPageAt(k)
 		if entries > 0 {
 			p.dirtyAt = h.n.now() // until its machines are taken up nobody knows what of it is wanted
 		}
 	})
-	h.n.book.DonePages(shard, func(k int) { d.donePage(k) })
-	h.n.book.Jobs.All(func(_ int, j *bookkeeping.Job) {
+	h.n.cache.DonePages(shard, func(k int) { d.donePageAt(k) })
+	h.n.cache.Jobs.All(func(_ int, j *bookkeeping.Job) {
 		if j.Home == shard && !j.Over() {
 			h.progress(j)
 		}
 	})
-	// Jobs known before the desk was there are read again, with their pages.
+	// Jobs known before the record writer was there are read again, with their pages.
 	for j, p := range h.jobs {
 		if j.Home == shard {
-			d.takeUp(p)
+			d.loadCompleted(p)
 		}
 	}
 	return d
 }
 
-// takeUp puts a job's completed tasks on the pages that name them.
-func (d *desk) takeUp(p *progress) {
+// loadCompleted puts a job's completed tasks on the pages that name them.
+func (d *recordWriter) loadCompleted(p *progress) {
 	for chunk, k := range p.job.DonePage {
-		d.donePage(k).put(p, chunk)
+		d.donePageAt(k).put(p, chunk)
 	}
 }
 
-func (d *desk) page(k int) *page {
+func (d *recordWriter) intentPageAt(k int) *intentPage {
 	for len(d.pages) <= k {
 		id := bookkeeping.PageID{Shard: d.shard, Page: len(d.pages)}
-		d.pages = append(d.pages, &page{sheet: sheet{id: id}, attempts: map[*attempt]bool{}, jobs: map[*bookkeeping.Job]int{}, named: map[*holding]bool{}})
+		d.pages = append(d.pages, &intentPage{pageState: pageState{id: id}, attempts: map[*attempt]bool{}, jobs: map[*bookkeeping.Job]int{}, named: map[*holding]bool{}})
 	}
 	return d.pages[k]
 }
 
-func (d *desk) donePage(k int) *donePage {
+func (d *recordWriter) donePageAt(k int) *donePage {
 	for len(d.done) <= k {
 		id := bookkeeping.PageID{Shard: d.shard, Page: len(d.done)}
-		d.done = append(d.done, &donePage{sheet: sheet{id: id}, chunks: map[doneChunk]bool{}})
+		d.done = append(d.done, &donePage{pageState: pageState{id: id}, chunks: map[doneChunk]bool{}})
 	}
 	return d.done[k]
 }
 
 // weight is at least what an attempt takes of a page: its entry, and the name of
 // its job where it is the first of that.
-func (p *page) weight(a *attempt) int {
+func (p *intentPage) weight(a *attempt) int {
 	w := len(a.on.m.Name) + a.width
 	if p.jobs[a.job] == 0 {
 		w += len(a.job.ID) + 8 + a.prog.head + 3
@@ -137,7 +136,7 @@
 	return bookkeeping.IntentHead(j.Team, j.CPUs, j.GPUs, j.MemoryGB)
 }
 
-func (p *page) put(a *attempt) {
+func (p *intentPage) put(a *attempt) {
 	if a.page != nil {
 		return
 	}
@@ -148,7 +147,7 @@
 	p.attempts[a] = true
 }
 
-func (p *page) drop(a *attempt, now time.Duration) {
+func (p *intentPage) drop(a *attempt, now time.Duration) {
 	if !p.attempts[a] {
 		return
 	}
@@ -180,16 +179,18 @@
 	}
 }
 
-// room is how many bytes a page holds.
-func (d *desk) room() int { return int(d.h.n.Settings.Cluster.State.ValueKB*1024) - 128 }
+// pageCapacity is how many bytes a page holds.
+func (d *recordWriter) pageCapacity() int {
+	return int(d.h.n.Settings.Cluster.State.ValueKB*1024) - 128
+}
 
 // completed takes in that a task of a chunk is done.
-func (d *desk) completed(p *progress, chunk int, now time.Duration) {
+func (d *recordWriter) completed(p *progress, chunk int, now time.Duration) {
 	page := p.pages[chunk]
 	if page == nil {
 		need := doneChunk{p, chunk}.size()
 		for k := 0; page == nil; k++ {
-			if q := d.donePage(k); q.bytes+need <= d.room() || len(q.chunks) == 0 {
+			if q := d.donePageAt(k); q.bytes+need <= d.pageCapacity() || len(q.chunks) == 0 {
 				page = q
 			}
 		}
@@ -201,17 +202,17 @@
 }
 
 // mayName reports whether a write that is not settled names a machine.
-func (d *desk) mayName(x *holding) bool {
-	return slices.ContainsFunc(d.pages, func(p *page) bool { return p.named[x] })
+func (d *recordWriter) mayName(x *holding) bool {
+	return slices.ContainsFunc(d.pages, func(p *intentPage) bool { return p.named[x] })
 }
 
-// settle forgets what writes may have named once the book shows how they ended.
-func (d *desk) settle(p *page) {
+// settle forgets what writes may have named once the cache shows how they ended.
+func (d *recordWriter) settle(p *intentPage) {
 	n := d.h.n
 	if len(p.named) == 0 || p.writing || n.revision < p.wroteAt {
 		return
 	}
-	if n.book.IntentVersion(p.id) != p.cond {
+	if n.cache.IntentVersion(p.id) != p.cond {
 		p.unknown = false
 	}
 	if !p.unknown {
@@ -220,9 +221,8 @@
 }
 
 // flush writes what is due.
-func (d *desk) flush() {
-	h := d.h
-	n := h.n
+func (d *recordWriter) flush() {
+	n := d.h.n
 	now := n.now()
 	if now < d.flushAt {
 		return
@@ -231,95 +231,38 @@
 		d.settle(p)
 	}
 	d.assign()
-	spare := n.budget.level > n.budget.rate/2 // removals alone wait until others need no writes
-	t := protocol.Txn{If: []protocol.Cond{{Key: bookkeeping.GrantKey(d.shard), Version: n.book.Grants[d.shard].Version}}}
-	var pages []*page
-	var done []*donePage
-	// Never more than there are writes for: waiting for a few at once, this would
-	// starve beside others that take one or two as they come.
-	n.budget.fill(now)
-	most := min(n.Settings.Cluster.State.TxnOps, d.most, max(1, int(n.budget.level)))
-	for _, p := range d.done {
-		if p.dirtyAt == 0 && n.book.StaleDone(p.id) {
-			p.dirtyAt = now
-		}
-		if len(t.Then) < most && p.idle(n) && p.dirtyAt > 0 && now-p.dirtyAt > doneAfter {
-			if op, any := d.completedTasks(p); any {
-				done = append(done, p)
-				t.If = append(t.If, protocol.Cond{Key: bookkeeping.DoneKey(p.id), Version: n.book.DoneVersion(p.id)})
-				t.Then = append(t.Then, op)
-			}
-		}
-	}
-	for _, p := range d.pages {
-		stale := p.dirtyAt > 0 && spare && now-p.dirtyAt > staleAfter
-		if len(t.Then) < most && p.idle(n) && (p.dirty || stale) && (len(p.attempts) > 0 || n.book.IntentVersion(p.id) != 0) {
-			pages = append(pages, p)
-			t.If = append(t.If, protocol.Cond{Key: bookkeeping.IntentKey(p.id), Version: n.book.IntentVersion(p.id)})
-			t.Then = append(t.Then, d.intents(p))
-		}
-	}
-	if len(t.Then) == 0 || !n.budget.take(now, len(t.Then)) {
+	b := d.dueWrites(now)
+	if len(b.txn.Then) == 0 || !n.budget.take(now, len(b.txn.Then)) {
 		return
 	}
 	d.flushAt = now + flushPause
-	var sheets []*sheet
-	for _, p := range pages {
-		sheets = append(sheets, &p.sheet)
-		p.cond = n.book.IntentVersion(p.id)
+	for _, p := range b.pages {
+		p.cond = n.cache.IntentVersion(p.id)
 		for a := range p.attempts {
 			p.named[a.on] = true
 		}
 	}
-	for _, p := range done {
-		sheets = append(sheets, &p.sheet)
-	}
-	for _, s := range sheets {
+	for _, s := range b.states() {
 		s.writing, s.dirty, s.dirtyAt = true, false, 0
 	}
-	n.State.Txn(t, func(revision uint64, err error) {
-		if n.hold != h || h.desks[d.shard] != d {
-			return
-		}
-		for _, s := range sheets {
-			s.writing = false
-			if err == nil {
-				s.wroteAt = revision
-			} else {
-				s.dirty, s.dirtyAt, s.retryAt = true, max(1, n.now()-staleAfter), n.now()+n.jitter(retryPause/2)
-			}
-		}
-		if err == nil {
-			d.most = min(d.most+1, mostChanges)
-		}
-		if err != nil {
-			n.Log.Debug("pages not written", "shard", d.shard, "err", err)
-			// Where all controllers together ask for more writes than there are,
-			// small transactions get through and large ones starve.
-			d.most = max(1, d.most/2)
-			for _, p := range pages {
-				p.unknown = p.unknown || errors.Is(err, protocol.ErrUnknown)
-			}
-		}
-		h.kick()
-	})
+	n.State.Txn(b.txn, func(revision uint64, err error) { d.written(b, revision, err) })
 }
 
 // assign puts new attempts on the emptiest pages that can be written now, so
 // that what has ended leaves the records with the same writes.
-func (d *desk) assign() {
+func (d *recordWriter) assign() {
 	n := d.h.n
-	d.adds = slices.DeleteFunc(d.adds, func(a *attempt) bool { return !a.live() || a.page != nil })
-	if len(d.adds) == 0 {
+	d.unassigned = slices.DeleteFunc(d.unassigned, func(a *attempt) bool { return !a.live() || a.page != nil })
+	if len(d.unassigned) == 0 {
 		return
 	}
-	var free []*page
+	var free []*intentPage
 	for _, p := range d.pages {
 		if p.idle(n) {
 			free = append(free, p)
 		}
 	}
-	slices.SortStableFunc(free, func(a, b *page) int {
+	slices.SortStableFunc(free, func(a, b *intentPage) int {
 		// One that is to be written anyway comes first.
 		return cmp.Or(compareBool(b.dirty, a.dirty), cmp.Compare(a.bytes, b.bytes))
 	})
@@ -332,14 +275,14 @@
 	for _, p := range d.pages {
 		bytes += p.bytes
 	}
-	enough := 4 + looseness*(bytes/d.room()+1)
+	enough := 4 + looseness*(bytes/d.pageCapacity()+1)
 	used := 0
-	for _, a := range d.adds {
+	for _, a := range d.unassigned {
 		a.width = len(bookkeeping.IntentEntry(a.task, "", a.try)) + 4
-		for len(free) > 0 && free[0].bytes+free[0].weight(a) > d.room() && len(free[0].attempts) > 0 {
+		for len(free) > 0 && free[0].bytes+free[0].weight(a) > d.pageCapacity() && len(free[0].attempts) > 0 {
 			free = free[1:]
 		}
-		if len(free) > 0 && !free[0].dirty && free[0].bytes > d.room()/4 && used == 0 && len(d.pages) < enough {
+		if len(free) > 0 && !free[0].dirty && free[0].bytes > d.pageCapacity()/4 && used == 0 && len(d.pages) < enough {
 			free = nil
 		}
 		if len(free) == 0 {
@@ -347,18 +290,18 @@
 				break
 			}
 			used++
-			free = append(free, d.page(len(d.pages)))
+			free = append(free, d.intentPageAt(len(d.pages)))
 		}
 		free[0].put(a)
 		free[0].dirty = true
 	}
-	d.adds = slices.DeleteFunc(d.adds, func(a *attempt) bool { return a.page != nil })
+	d.unassigned = slices.DeleteFunc(d.unassigned, func(a *attempt) bool { return a.page != nil })
 }
 
 // intents is the change that makes a page of intents say what it should. An
 // empty page stays: once it were removed, its version would be 0 again, and a
 // late transaction that made it first could bring its contents back.
-func (d *desk) intents(p *page) protocol.Op {
+func (d *recordWriter) intents(p *intentPage) protocol.Op {
 	key := bookkeeping.IntentKey(p.id)
 	rec := bookkeeping.IntentPage{}
 	for a := range p.attempts {
@@ -375,7 +318,7 @@
 
 // completedTasks is the same for a page of completed tasks; any is false where
 // there is neither a page nor a need of one.
-func (d *desk) completedTasks(p *donePage) (op protocol.Op, any bool) {
+func (d *recordWriter) completedTasks(p *donePage) (op protocol.Op, any bool) {
 	key := bookkeeping.DoneKey(p.id)
 	rec := bookkeeping.DonePage{}
 	for c := range p.chunks {
@@ -388,7 +331,7 @@
 		part := c.p.done[min(len(c.p.done), c.chunk*bookkeeping.ChunkTasks/8):]
 		rec[bookkeeping.DoneName(j.ID, c.chunk)] = part[:min(len(part), bookkeeping.ChunkTasks/8)]
 	}
-	if len(rec) == 0 && d.h.n.book.DoneVersion(p.id) == 0 {
+	if len(rec) == 0 && d.h.n.cache.DoneVersion(p.id) == 0 {
 		p.dirtyAt = 0
 		return op, false
 	}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -12,46 +12,46 @@
 // OnReport answers a worker's report.
 func (n *Node) OnReport(r *protocol.Report, reply func(Answer)) {
 	if !n.ready {
-		reply(comeBack("starting"))
+		reply(retryLater("starting"))
 		return
 	}
-	_, m := n.book.Machines.Find(r.Machine)
+	_, m := n.cache.Machines.Find(r.Machine)
 	if m == nil || m.Block == "" {
-		if len(n.strangers) < 200 {
-			n.strangers[r.Machine] = *r
+		if len(n.orphanReports) < 200 {
+			n.orphanReports[r.Machine] = *r
 		}
-		reply(comeBack("machine not known yet"))
+		reply(retryLater("machine not known yet"))
 		return
 	}
 	if !m.There() || m.Shard < 0 || m.Shard >= n.shards {
-		reply(comeBack("machine was given back"))
+		reply(retryLater("machine was given back"))
 		return
 	}
 	n.heardFrom[m.Shard] = n.now()
 	if n.holds(m.Shard) {
 		x := n.hold.machines[m.Name]
 		if x == nil || !n.entitled(m.Shard) || r.Token > x.token {
-			reply(comeBack("not entitled to this machine now"))
+			reply(retryLater("not entitled to this machine now"))
 			return
 		}
 		if !r.Newer(x.session, x.seq) && n.now()-x.heard > workerPatience {
 			// A copy that was held back on its way. Nobody waits for its answer,
 			// and it must not count as the renewal of a lease.
-			reply(comeBack("an old report"))
+			reply(retryLater("an old report"))
 			return
 		}
 		n.hold.report(x, r, true)
 		x.answered = n.now()
-		cmds := n.hold.orders(x)
-		reply(Answer{Status: http.StatusOK, Body: protocol.Orders{Token: x.token, Commands: cmds}})
+		cmds := n.hold.commandsFor(x)
+		reply(Answer{Status: http.StatusOK, Body: protocol.ReportAnswer{Token: x.token, Commands: cmds}})
 		if !x.fenced {
 			n.hold.push(x)
 		}
 		return
 	}
-	g := &n.book.Grants[m.Shard]
+	g := &n.cache.Grants[m.Shard]
 	if g.Version == 0 || g.Node == n.Settings.Node {
-		reply(comeBack("no holder yet"))
+		reply(retryLater("no holder yet"))
 		return
 	}
 	n.Log.Debug("redirect", "machine", r.Machine, "to", g.Node)
@@ -65,27 +65,38 @@
 // bring reports minutes late. asked is set where the worker waits for an answer;
 // otherwise the report itself answers a command and shows that those get through.
 func (h *holder) report(x *holding, r *protocol.Report, asked bool) {
-	n := h.n
-	now := n.now()
+	now := h.n.now()
 	if !r.Newer(x.session, x.seq) {
 		return
 	}
 	if x.seq == 0 {
 		x.firstHeard = now
 	}
-	h.listen(x, r, asked)
+	h.judgeReachability(x, r, asked)
 	x.session, x.seq, x.heard = r.Session, r.Seq, now
 	x.fenced = r.Token >= x.base
 	if r.Address != "" {
 		x.addr = r.Address
 	}
+	x.notice = 0
 	if r.NoticeS != nil {
-		x.notice = now + time.Duration(*r.NoticeS*float64(time.Second))
-	} else {
-		x.notice = 0
+		x.notice = now + seconds(*r.NoticeS)
+	}
+	found, news := h.reportedTasks(x, r)
+	x.noteReaps(now)
+	if found < len(x.attempts) && h.missingTasks(x, r) {
+		news = true
+	}
+	if news || x.busy {
+		h.schedulePass()
 	}
-	x.extras = x.extras[:0]
-	found, news := 0, false
+}
+
+// reportedTasks takes in the tasks that a report lists. It returns how many of the
+// attempts here it lists and whether any has ended.
+func (h *holder) reportedTasks(x *holding, r *protocol.Report) (found int, ended bool) {
+	n := h.n
+	x.unexpected = x.unexpected[:0]
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		id, task, err := protocol.SplitTask(t.Task)
@@ -93,71 +104,81 @@
 			n.Log.Warn("report names no task", "machine", r.Machine, "task", t.Task)
 			continue
 		}
-		idx, _ := n.book.Jobs.Find(id)
-		ref := bookkeeping.TaskRef{Job: idx, Task: task}
-		a := x.attempts[ref]
-		if idx < 0 || a == nil || a.try != t.Attempt {
-			x.extras = append(x.extras, *t)
+		job, _ := n.cache.Jobs.Find(id)
+		a := x.attempts[bookkeeping.TaskRef{Job: job, Task: task}]
+		if job < 0 || a == nil || a.try != t.Attempt {
+			x.unexpected = append(x.unexpected, *t)
 			continue
 		}
 		a.seen = r.Seq
 		found++
-		if !a.live() {
-			continue
+		if a.live() && h.reportedState(a, t) {
+			ended = true
 		}
-		switch t.State {
-		case protocol.TaskFetching, protocol.TaskWaiting:
-			a.state = taskFetching
-		case protocol.TaskRunning:
-			if a.state != taskRunning {
-				a.state, a.ran = taskRunning, now
-			}
-		case protocol.TaskSaving:
-			a.state = taskSaving
-		case protocol.TaskEnded:
-			h.outcome(a, t)
-			news = true
+	}
+	return found, ended
+}
+
+// reportedState takes in a task's state and reports whether it has ended.
+func (h *holder) reportedState(a *attempt, t *protocol.TaskStatus) bool {
+	switch t.State {
+	case protocol.TaskFetching, protocol.TaskWaiting:
+		a.state = taskFetching
+	case protocol.TaskRunning:
+		if a.state != taskRunning {
+			a.state, a.ran = taskRunning, h.n.now()
 		}
+	case protocol.TaskSaving:
+		a.state = taskSaving
+	case protocol.TaskEnded:
+		h.outcome(a, t)
+		return true
 	}
-	if len(x.extras) == 0 {
+	return false
+}
+
+// noteReaps keeps since when there have been tasks to reap.
+func (x *holding) noteReaps(now time.Duration) {
+	if len(x.unexpected) == 0 {
 		x.reapFrom = 0
 	} else if x.reapFrom == 0 {
 		x.reapFrom = now
 	}
 	x.busy = x.busy || x.reapDue(now)
-	if found < len(x.attempts) {
-		for _, ref := range refs(x.attempts) {
-			a := x.attempts[ref]
-			if a.seen == r.Seq || !a.live() {
-				continue
-			}
-			switch {
-			case a.session != 0 && r.Session > a.session:
-				h.end(a, "session over")
-			case a.state != taskPlanned:
-				// Seen before and not any more: it is over. Only a new session or a
-				// reap of ours does this, and both come after its end.
-				h.end(a, "vanished")
-			case a.inherited && x.fenced, a.stop && a.token > 0 && r.Token > a.token:
-				// Not there, and every start that was ever sent for it is fenced.
-				h.end(a, "never started")
-			default:
-				continue
-			}
-			news = true
+}
+
+// missingTasks ends the attempts whose absence from a report proves that they are
+// over, and reports whether there were any.
+func (h *holder) missingTasks(x *holding, r *protocol.Report) (ended bool) {
+	for _, ref := range refs(x.attempts) {
+		a := x.attempts[ref]
+		if a.seen == r.Seq || !a.live() {
+			continue
 		}
+		switch {
+		case a.session != 0 && r.Session > a.session:
+			h.end(a, "session over")
+		case a.state != taskPlanned:
+			// Seen before and not any more: it is over. Only a new session or a
+			// reap of ours does this, and both come after its end.
+			h.end(a, "vanished")
+		case a.inherited && x.fenced, a.stop && a.token > 0 && r.Token > a.token:
+			// Not there, and every start that was ever sent for it is fenced.
+			h.end(a, "never started")
+		default:
+			continue
+		}
+		ended = true
 	}
-	if news || x.busy {
-		h.kick()
-	}
+	return ended
 }
 
-// listen judges from a report whether answers and commands reach the machine. A
+// judgeReachability judges from a report whether answers and commands reach the machine. A
 // worker that hears shows a higher token in its next report, new tasks likewise,
 // and its session stays as long as its reports are answered. One that is not so
 // is asked to show a higher token; if it doesn't for several reports, what it
 // runs ends with its lease, and it must not be counted on.
-func (h *holder) listen(x *holding, r *protocol.Report, asked bool) {
+func (h *holder) judgeReachability(x *holding, r *protocol.Report, asked bool) {
 	now := h.n.now()
 	w := h.n.Settings.Cluster.Workers
 	patience := 2*w.Report() + workerPatience
@@ -174,16 +195,16 @@
 		x.probe, x.probeAt = x.token, now
 	}
 	x.suspect = r.Token < x.probe
-	deaf := x.suspect && asked && now-x.probeAt > patience
-	if deaf && !x.deaf && x.probe == x.base {
+	unresponsive := x.suspect && asked && now-x.probeAt > patience
+	if unresponsive && !x.unresponsive && x.probe == x.base {
 		// It may have come up long after it was taken up; then it has not been
 		// answered yet.
-		deaf = x.seq > 0 && now-x.firstHeard > patience
+		unresponsive = x.seq > 0 && now-x.firstHeard > patience
 	}
-	if deaf && !x.deaf {
+	if unresponsive && !x.unresponsive {
 		h.n.Log.Info("machine hears nothing", "machine", x.m.Name, "session", r.Session, "token", r.Token)
 	}
-	x.deaf = deaf
+	x.unresponsive = unresponsive
 }
 
 // outcome takes in how a task was reported to have ended.
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -16,7 +16,7 @@
 // is it given on.
 func (l *leadership) sharesTick() {
 	n := l.n
-	b := n.book
+	b := n.cache
 	if b.Homes <= 1 || l.sharing || n.now() < l.shareAt {
 		return
 	}
@@ -127,7 +127,7 @@
 // needs is what each team uses and waits for in each home, in parts of its limit,
 // or of its guarantee where it has no limit.
 func (l *leadership) needs() [][]need {
-	b := l.n.book
+	b := l.n.cache
 	used, waits := make([][]usage, len(b.Teams)), make([][]usage, len(b.Teams))
 	for i := range used {
 		used[i], waits[i] = make([]usage, b.Homes), make([]usage, b.Homes)
@@ -171,9 +171,9 @@
 // controller that has just been granted a home may not know yet what is on the
 // machines there, and what it said before says nothing of them.
 func (h *holder) keepsShares() []uint64 {
-	b := h.n.book
+	b := h.n.cache
 	var out []uint64
-	for s := range h.desks {
+	for s := range h.writers {
 		kept := true
 		for i, u := range h.used(s) {
 			t := &b.Teams[i]
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -21,8 +21,8 @@
 	return Answer{Status: status, Body: protocol.Problem{Error: what}}
 }
 
-// comeBack asks the user to come back; nothing was decided.
-func comeBack(what string) Answer {
+// retryLater asks the user to come back; nothing was decided.
+func retryLater(what string) Answer {
 	return Answer{Status: http.StatusServiceUnavailable, Body: protocol.Problem{Error: what}, RetryAfter: time.Second}
 }
 
@@ -44,14 +44,14 @@
 // and it is not the one whose processor nearly all of the workers' reports and
 // commands go through while others are well. Who comes all the same is served.
 func (n *Node) Healthy() bool {
-	return n.ready && !n.stopped && n.now()-n.freshAt < n.authority && !n.spared()
+	return n.ready && !n.stopped && n.now()-n.freshAt < n.authority && !n.leavesUsersToPeers()
 }
 
-// spared reports whether this node leaves users to others: it holds the home of
+// leavesUsersToPeers reports whether this node leaves users to others: it holds the home of
 // the work that ends, beside other homes, and the leader has lately said that at
 // least two others are well. Where the leader is gone or few are left, it doesn't.
-func (n *Node) spared() bool {
-	return n.book.Homes > 1 && n.holds(0) && n.othersWell >= 2 && n.now()-n.pongAt < aliveFor
+func (n *Node) leavesUsersToPeers() bool {
+	return n.cache.Homes > 1 && n.holds(0) && n.healthyPeers >= 2 && n.now()-n.leaderAnsweredAt < aliveFor
 }
 
 // Submit takes a job. It is accepted once its record is durable; the record's
@@ -63,16 +63,16 @@
 		return
 	}
 	if !n.ready {
-		reply(comeBack("starting"))
+		reply(retryLater("starting"))
 		return
 	}
 	known := func() {
 		n.lookup(spec.ID, func(v *protocol.View, err error) {
 			switch {
 			case err != nil:
-				reply(comeBack("state service does not answer"))
+				reply(retryLater("state service does not answer"))
 			case v == nil:
-				reply(comeBack("undecided"))
+				reply(retryLater("undecided"))
 			default:
 				reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: v.ID, Stage: v.Stage}})
 			}
@@ -80,7 +80,7 @@
 	}
 	// A repeat of a known job is answered before anything else is checked: what
 	// was accepted once must not be refused later.
-	if _, j := n.book.Jobs.Find(spec.ID); j != nil && !j.Over() {
+	if _, j := n.cache.Jobs.Find(spec.ID); j != nil && !j.Over() {
 		known()
 		return
 	}
@@ -88,8 +88,8 @@
 		known()
 		return
 	}
-	if n.book.TypesVer == 0 {
-		reply(comeBack("machine types not known yet"))
+	if n.cache.TypesVer == 0 {
+		reply(retryLater("machine types not known yet"))
 		return
 	}
 	if why := n.impossible(spec); why != "" {
@@ -112,20 +112,20 @@
 		case errors.Is(err, protocol.ErrConflict):
 			known()
 		default:
-			reply(comeBack("state service does not answer"))
+			reply(retryLater("state service does not answer"))
 		}
 	})
 }
 
 // impossible tells why a job can never run, or "".
 func (n *Node) impossible(s *protocol.Spec) string {
-	team := n.book.TeamNames.Lookup(s.Team)
+	team := n.cache.TeamNames.Lookup(s.Team)
 	if team < 0 {
 		return "unknown team"
 	}
 	fits := false
-	for i := range n.book.Types {
-		t := &n.book.Types[i]
+	for i := range n.cache.Types {
+		t := &n.cache.Types[i]
 		if t.CPUs <= 0 || s.CPUs > t.CPUs || s.GPUs > t.GPUs || s.MemoryGB > t.MemoryGB {
 			continue
 		}
@@ -137,7 +137,7 @@
 	if !fits {
 		return "a task fits no allowed machine type"
 	}
-	t := &n.book.Teams[team]
+	t := &n.cache.Teams[team]
 	count := 1.0
 	if s.Kind != protocol.KindArray {
 		count = float64(s.Tasks)
@@ -152,9 +152,9 @@
 func over(amount, limit float64) bool { return limit > 0 && amount > limit+1e-6 }
 
 // lookup finds out what has become of a job, as of now or later; nil without an
-// error means that it was never accepted. The book is brought up to date first.
-// A job moves from the book to its final record in one transaction, so one that
-// the book does not have is either over, and its final record can be read, or
+// error means that it was never accepted. The cache is brought up to date first.
+// A job moves from the cache to its final record in one transaction, so one that
+// the cache does not have is either over, and its final record can be read, or
 // was not accepted when the question came.
 func (n *Node) lookup(id string, done func(*protocol.View, error)) {
 	if f, ok := n.finals[id]; ok {
@@ -166,7 +166,7 @@
 			done(nil, err)
 			return
 		}
-		if _, j := n.book.Jobs.Find(id); j != nil && !j.Over() {
+		if _, j := n.cache.Jobs.Find(id); j != nil && !j.Over() {
 			done(n.view(j), nil)
 			return
 		}
@@ -202,13 +202,13 @@
 		return
 	}
 	if !n.ready {
-		reply(comeBack("starting"))
+		reply(retryLater("starting"))
 		return
 	}
 	n.lookup(id, func(v *protocol.View, err error) {
 		switch {
 		case err != nil:
-			reply(comeBack("state service does not answer"))
+			reply(retryLater("state service does not answer"))
 		case v == nil:
 			reply(problem(http.StatusNotFound, "no such job"))
 		default:
@@ -217,45 +217,45 @@
 	})
 }
 
-// Withdraw cancels a job. Removing the record of the unfinished job under its
+// Cancel cancels a job. Removing the record of the unfinished job under its
 // version and writing the final one is a single transaction, as it is for a
 // job that completes, so only one of the two can ever happen.
-func (n *Node) Withdraw(id string, reply func(Answer)) {
+func (n *Node) Cancel(id string, reply func(Answer)) {
 	if !protocol.ValidJobID(id) {
 		reply(problem(http.StatusNotFound, "no such job"))
 		return
 	}
 	if !n.ready {
-		reply(comeBack("starting"))
+		reply(retryLater("starting"))
 		return
 	}
-	n.withdraw(id, 3, reply)
+	n.cancel(id, 3, reply)
 }
 
-func (n *Node) withdraw(id string, tries int, reply func(Answer)) {
+func (n *Node) cancel(id string, tries int, reply func(Answer)) {
 	if f, ok := n.finals[id]; ok {
 		reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: f.Stage}})
 		return
 	}
 	n.State.Get(bookkeeping.JobKey(id), func(it protocol.Item, found bool, err error) {
 		if err != nil {
-			reply(comeBack("state service does not answer"))
+			reply(retryLater("state service does not answer"))
 			return
 		}
 		if !found {
 			n.lookup(id, func(v *protocol.View, err error) {
 				switch {
 				case err != nil:
-					reply(comeBack("state service does not answer"))
+					reply(retryLater("state service does not answer"))
 				case v == nil:
 					reply(problem(http.StatusNotFound, "no such job"))
 				case v.Stage != protocol.StageDone && v.Stage != protocol.StageWithdrawn:
-					reply(comeBack("undecided"))
+					reply(retryLater("undecided"))
 				default:
 					// The transaction may have been another controller's that never
 					// heard how it ended.
 					if v.Stage == protocol.StageWithdrawn {
-						n.confirmed(id)
+						n.cancellationConfirmed(id)
 					}
 					reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: v.Stage}})
 				}
@@ -274,12 +274,12 @@
 			switch {
 			case err == nil:
 				n.remember(id, f)
-				n.confirmed(id)
+				n.cancellationConfirmed(id)
 				reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: f.Stage}})
 			case errors.Is(err, protocol.ErrConflict) && tries > 1:
-				n.withdraw(id, tries-1, reply)
+				n.cancel(id, tries-1, reply)
 			default:
-				reply(comeBack("state service does not answer"))
+				reply(retryLater("state service does not answer"))
 			}
 		})
 	})
--- a/internal/coordination/users_test.go
+++ b/internal/coordination/users_test.go
@@ -19,21 +19,21 @@
 			t.Errorf("healthy %t %s", !want, when)
 		}
 	}
-	pong := func(well int) {
-		b.n.onPong(&protocol.Pong{Leader: true, Term: b.n.book.Leader.Term, SentAt: b.now, Well: well})
+	reply := func(well int) {
+		b.n.onHeartbeatReply(&protocol.HeartbeatReply{Leader: true, Term: b.n.cache.Leader.Term, SentAt: b.now, HealthyPeers: well})
 	}
-	pong(4)
+	reply(4)
 	healthy(true, "with one home")
-	b.n.book.Homes = 2
+	b.n.cache.Homes = 2
 	healthy(false, "with four others that are well")
-	pong(1)
+	reply(1)
 	healthy(true, "with one other that is well")
-	pong(2)
+	reply(2)
 	healthy(false, "with two")
 	b.now += aliveFor
 	b.fresh()
 	healthy(true, "without a word of the leader")
-	pong(2)
+	reply(2)
 	b.apply(bookkeeping.GrantKey(0), bookkeeping.GrantRecord{Node: "b", Incarnation: 1, Token: grantToken + 1<<24})
 	healthy(true, "once another holds the home")
 }
@@ -43,16 +43,16 @@
 func TestWellControllers(t *testing.T) {
 	b := newBench(t)
 	b.n.nodes = []string{"a", "b", "c", "d", "e", "f"}
-	b.n.book.Grants[0].Node = "b"
+	b.n.cache.Grants[0].Node = "b"
 	at := b.now - time.Second
 	l := &leadership{n: b.n, peers: map[string]*peerInfo{
 		"a": {heard: at, fresh: true}, "b": {heard: at, fresh: true}, "c": {heard: at, fresh: true},
 		"d": {heard: at}, "e": {heard: b.now - 2*aliveFor, fresh: true}, "f": {heard: at, fresh: true, left: true},
 	}}
-	if n := l.well("b"); n != 2 {
+	if n := l.healthyBesides("b"); n != 2 {
 		t.Errorf("%d are well beside the holder", n)
 	}
-	if n := l.well("a"); n != 1 {
+	if n := l.healthyBesides("a"); n != 1 {
 		t.Errorf("%d are well beside the leader", n)
 	}
 }
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -184,9 +184,9 @@
 	Timeout time.Duration
 }
 
-// Command carries out orders at once. With no error the report tells what is
-// on the machine; done is false when the worker refused the orders.
-func (c *WorkerClient) Command(addr string, o DirectOrders) (r *Report, done bool, err error) {
+// Command carries out commands at once. With no error the report tells what is
+// on the machine; done is false when the worker refused the commands.
+func (c *WorkerClient) Command(addr string, o CommandRequest) (r *Report, done bool, err error) {
 	if o.Commands == nil {
 		o.Commands = []Command{}
 	}
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -10,13 +10,13 @@
 	"time"
 )
 
-// ErrConflict: a condition of a transaction did not hold; nothing was changed.
+// ErrConflict says that a condition of a transaction did not hold; nothing was changed.
 var ErrConflict = errors.New("condition not met")
 
-// ErrNoLease: the lease has ended.
+// ErrNoLease says that the lease has ended.
 var ErrNoLease = errors.New("no such lease")
 
-// ErrTooOld: the changes asked for are no longer kept; read the keys again.
+// ErrTooOld says that the changes asked for are no longer kept; read the keys again.
 var ErrTooOld = errors.New("changes no longer kept")
 
 // Item is a key with its value.
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -128,96 +128,115 @@
 	if err := json.Unmarshal(body, &r); err != nil {
 		return nil, malformed("%v", err)
 	}
-	s := &Spec{}
-	var bad error
-	fail := func(field, what string) {
-		if bad == nil {
-			bad = malformed("%s: %s", field, what)
-		}
+	s, err := r.spec()
+	if err != nil {
+		return nil, err
 	}
-	text := func(field string, p *string, into *string, empty bool) {
-		switch {
-		case p == nil:
-			fail(field, "missing")
-		case len(*p) > maxName:
-			fail(field, "too long")
-		case *p == "" && !empty:
-			fail(field, "empty")
-		default:
-			*into = *p
-		}
+	switch {
+	case !ValidJobID(s.ID):
+		return nil, malformed("id: not of the form run-000412")
+	case s.Kind != KindArray && s.Kind != KindService && s.Kind != KindGang:
+		return nil, malformed("shape: unknown")
+	case s.Rank() == len(priorities):
+		return nil, malformed("rank: unknown")
+	case s.CPUs <= 0 && s.GPUs <= 0 && s.MemoryGB <= 0:
+		return nil, malformed("vcpus: a task takes nothing of its machine")
 	}
-	amount := func(field string, p *float64, into *float64) {
-		switch {
-		case p == nil:
-			fail(field, "missing")
-		case *p < 0 || *p > 1e9 || math.IsNaN(*p):
-			fail(field, "out of range")
-		default:
-			*into = *p
-		}
+	return s, nil
+}
+
+// fieldReader copies fields that must be there and keeps the first error.
+type fieldReader struct{ err error }
+
+func (f *fieldReader) fail(field, what string) {
+	if f.err == nil {
+		f.err = malformed("%s: %s", field, what)
 	}
-	flag := func(field string, p *bool, into *bool) {
-		if p == nil {
-			fail(field, "missing")
-			return
-		}
+}
+
+func (f *fieldReader) text(field string, p *string, into *string, mayBeEmpty bool) {
+	switch {
+	case p == nil:
+		f.fail(field, "missing")
+	case len(*p) > maxName:
+		f.fail(field, "too long")
+	case *p == "" && !mayBeEmpty:
+		f.fail(field, "empty")
+	default:
+		*into = *p
+	}
+}
+
+// maxAmount bounds every amount of a submission.
+const maxAmount = 1e9
+
+func (f *fieldReader) amount(field string, p *float64, into *float64) {
+	switch {
+	case p == nil:
+		f.fail(field, "missing")
+	case *p < 0 || *p > maxAmount || math.IsNaN(*p):
+		f.fail(field, "out of range")
+	default:
 		*into = *p
 	}
-	text("id", r.ID, &s.ID, false)
-	text("lane", r.Class, &s.Class, false)
-	text("crew", r.Team, &s.Team, false)
-	text("shape", r.Kind, &s.Kind, false)
-	text("rank", r.Priority, &s.Priority, false)
-	text("bundle", r.Image, &s.Image, true)
-	amount("vcpus", r.CPUs, &s.CPUs)
-	amount("gpus", r.GPUs, &s.GPUs)
-	amount("ramGb", r.MemoryGB, &s.MemoryGB)
-	amount("sizeGb", r.ImageGB, &s.ImageGB)
-	amount("guessS", r.EstimateS, &s.EstimateS)
-	amount("markS", r.CheckpointS, &s.CheckpointS)
-	amount("stashS", r.SaveS, &s.SaveS)
-	flag("together", r.OneZone, &s.OneZone)
-	flag("spread", r.Spread, &s.Spread)
-	flag("loaner", r.Spot, &s.Spot)
-	if r.Tasks == nil {
-		fail("pieces", "missing")
-	} else if *r.Tasks < 1 || *r.Tasks > MaxTasks {
-		fail("pieces", "out of range")
-	} else {
-		s.Tasks = int(*r.Tasks)
+}
+
+func (f *fieldReader) flag(field string, p *bool, into *bool) {
+	if p == nil {
+		f.fail(field, "missing")
+		return
+	}
+	*into = *p
+}
+
+func (f *fieldReader) tasks(p *int64, into *int) {
+	switch {
+	case p == nil:
+		f.fail("pieces", "missing")
+	case *p < 1 || *p > MaxTasks:
+		f.fail("pieces", "out of range")
+	default:
+		*into = int(*p)
 	}
+}
+
+// spec checks each field by itself.
+func (r *rawSpec) spec() (*Spec, error) {
+	s := &Spec{}
+	f := &fieldReader{}
+	f.text("id", r.ID, &s.ID, false)
+	f.text("lane", r.Class, &s.Class, false)
+	f.text("crew", r.Team, &s.Team, false)
+	f.text("shape", r.Kind, &s.Kind, false)
+	f.text("rank", r.Priority, &s.Priority, false)
+	f.text("bundle", r.Image, &s.Image, true)
+	f.amount("vcpus", r.CPUs, &s.CPUs)
+	f.amount("gpus", r.GPUs, &s.GPUs)
+	f.amount("ramGb", r.MemoryGB, &s.MemoryGB)
+	f.amount("sizeGb", r.ImageGB, &s.ImageGB)
+	f.amount("guessS", r.EstimateS, &s.EstimateS)
+	f.amount("markS", r.CheckpointS, &s.CheckpointS)
+	f.amount("stashS", r.SaveS, &s.SaveS)
+	f.flag("together", r.OneZone, &s.OneZone)
+	f.flag("spread", r.Spread, &s.Spread)
+	f.flag("loaner", r.Spot, &s.Spot)
+	f.tasks(r.Tasks, &s.Tasks)
 	if r.DeadlineS != nil {
-		amount("dueS", r.DeadlineS, &s.DeadlineS)
+		f.amount("dueS", r.DeadlineS, &s.DeadlineS)
 	}
 	if r.Zone != nil {
-		text("yard", r.Zone, &s.Zone, false)
+		f.text("yard", r.Zone, &s.Zone, false)
 	}
 	if r.Types != nil {
 		if len(*r.Types) == 0 {
-			fail("builds", "empty")
+			f.fail("builds", "empty")
 		}
 		for _, t := range *r.Types {
-			text("builds", &t, &t, false)
+			f.text("builds", &t, &t, false)
 		}
 		s.Types = *r.Types
 	}
-	if bad != nil {
-		return nil, bad
-	}
-	if !ValidJobID(s.ID) {
-		return nil, malformed("id: not of the form run-000412")
-	}
-	if s.Kind != KindArray && s.Kind != KindService && s.Kind != KindGang {
-		return nil, malformed("shape: unknown")
-	}
-	if s.Rank() == len(priorities) {
-		return nil, malformed("rank: unknown")
-	}
-	if s.CPUs <= 0 && s.GPUs <= 0 && s.MemoryGB <= 0 {
-		return nil, malformed("vcpus: a task takes nothing of its machine")
-	}
-	return s, nil
+	return s, f.err
 }
 
 // View is what a user is told about a job.
@@ -228,7 +247,7 @@
 	Running int    `json:"running"`
 }
 
-// Receipt answers a submission or a withdrawal.
+// Receipt answers a submission or a cancellation.
 type Receipt struct {
 	ID    string `json:"id"`
 	Stage string `json:"stage"`
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -76,7 +76,7 @@
 	return r.Session > session || r.Session == session && r.Seq > seq
 }
 
-// Command is one order to a worker.
+// Command is one instruction to a worker.
 type Command struct {
 	Verb    string   `json:"verb"`
 	Task    string   `json:"piece"`
@@ -84,14 +84,14 @@
 	GraceS  *float64 `json:"leewayS,omitempty"`
 }
 
-// Orders answers a report.
-type Orders struct {
+// ReportAnswer answers a report.
+type ReportAnswer struct {
 	Token    uint64    `json:"baton"`
 	Commands []Command `json:"orders"`
 }
 
-// DirectOrders are sent straight to a worker.
-type DirectOrders struct {
+// CommandRequest are sent straight to a worker.
+type CommandRequest struct {
 	Token    uint64    `json:"baton"`
 	Session  uint64    `json:"shift"`
 	Commands []Command `json:"orders"`
--- a/internal/scenario/actions_breaches.go
+++ b/internal/scenario/actions_breaches.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+
 	"rockrun/internal/protocol"
 )
 
--- a/internal/scenario/actions_users.go
+++ b/internal/scenario/actions_users.go
@@ -2,10 +2,11 @@
 
 import (
 	"fmt"
-	"rockrun/internal/protocol"
 	"strconv"
 	"strings"
 	"time"
+
+	"rockrun/internal/protocol"
 )
 
 // Actions of the users: jobs come, are cancelled, and are asked about.
--- a/internal/scenario/checker_idle.go
+++ b/internal/scenario/checker_idle.go
@@ -2,9 +2,10 @@
 
 import (
 	"maps"
-	"rockrun/internal/protocol"
 	"slices"
 	"time"
+
+	"rockrun/internal/protocol"
 )
 
 // machinesOf lists the machines that tasks of a job are on.
--- a/internal/scenario/select.go
+++ b/internal/scenario/select.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
-	"rockrun/internal/bookkeeping"
 	"slices"
 	"strconv"
 	"strings"
+
+	"rockrun/internal/bookkeeping"
 )
 
 func (s *sim) host(line *statement, name string) *host {
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -178,7 +178,7 @@
 	s := u.s
 	j.asked = true
 	id, accepted, final := j.spec.ID, j.accepted, j.final
-	u.ask(func(n *coordination.Node, reply func(coordination.Answer)) { n.Withdraw(id, reply) }, func(a coordination.Answer) {
+	u.ask(func(n *coordination.Node, reply func(coordination.Answer)) { n.Cancel(id, reply) }, func(a coordination.Answer) {
 		switch a.Status {
 		case http.StatusOK:
 			s.check.told(id, j, final, a.Body.(protocol.Receipt).Stage)
--- a/internal/scenario/users_faults.go
+++ b/internal/scenario/users_faults.go
@@ -4,11 +4,12 @@
 	"fmt"
 	"maps"
 	"net/http"
-	"rockrun/internal/coordination"
-	"rockrun/internal/protocol"
 	"slices"
 	"strings"
 	"time"
+
+	"rockrun/internal/coordination"
+	"rockrun/internal/protocol"
 )
 
 // cancelNow lets users call off so many arrays that run, the last begun first, and
@@ -88,7 +89,7 @@
 // withdrawOver calls off a job that is over.
 func (u *users) withdrawOver(j *userJob) {
 	final := j.final
-	u.ask(func(n *coordination.Node, reply func(coordination.Answer)) { n.Withdraw(j.spec.ID, reply) }, func(a coordination.Answer) {
+	u.ask(func(n *coordination.Node, reply func(coordination.Answer)) { n.Cancel(j.spec.ID, reply) }, func(a coordination.Answer) {
 		switch a.Status {
 		case http.StatusOK:
 			u.s.check.told(j.spec.ID, j, final, a.Body.(protocol.Receipt).Stage)
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -119,58 +119,18 @@
 		return
 	}
 	w.flying, w.dirty, w.last = true, false, w.s.now
-	sent, session := w.s.now, w.session
+	x := &exchange{w: w, sent: w.s.now, session: w.session}
 	r := w.status()
-	answered := false
-	finish := func(a coordination.Answer, ok bool) {
-		if answered || w.dead || w.hangs() || w.s.now-sent > 4*time.Second+time.Millisecond {
-			return // it waits no longer for this answer
-		}
-		answered = true
-		w.flying = false
-		pause := time.Duration((0.75 + 0.5*w.s.rand.Float64()) * float64(w.s.cluster.Workers.Report()))
-		switch {
-		case ok && a.Status == http.StatusOK:
-			o := a.Body.(protocol.Orders)
-			if o.Token >= w.token && session == w.session {
-				if o.Token > w.token {
-					w.token = o.Token
-					w.changed()
-				}
-				w.leaseAt = sent
-				w.obey(o.Commands)
-			}
-		case ok && a.Status == http.StatusMisdirectedRequest:
-			boss := a.Body.(protocol.Redirect).Boss
-			i := slices.IndexFunc(w.s.nodes, func(h *host) bool { return h.name == boss })
-			if i >= 0 && i != w.node {
-				w.node = i
-				pause = 200 * time.Millisecond
-			} else {
-				w.next()
-				pause = time.Second
-			}
-		default:
-			w.next()
-			pause = time.Second
-		}
-		if w.dirty {
-			w.dirty = false
-			w.changed()
-		}
-		seq := w.seq
-		w.s.after(pause, func() {
-			if w.seq == seq || w.s.now-w.last >= w.s.cluster.Workers.Report()/2 {
-				w.report()
-			}
-		})
-	}
 	h := w.s.nodes[w.node]
-	w.s.after(4*time.Second, func() { finish(coordination.Answer{}, false) })
+	w.s.after(answerPatience, func() { x.finish(coordination.Answer{}, false) })
 	if h.p == nil {
-		w.s.after(w.s.delay(), func() { finish(coordination.Answer{}, false) })
+		w.s.after(w.s.delay(), func() { x.finish(coordination.Answer{}, false) })
 		return
 	}
+	if w.mute {
+		return // it can't even connect
+	}
+	w.s.copyReport(r)
 	p := h.p
 	deliver := func() {
 		if p.dead || !w.s.reach(h, w) {
@@ -180,16 +140,12 @@
 			p.node.OnReport(r, func(a coordination.Answer) {
 				w.s.after(w.s.delay(), func() {
 					if !w.cut && !w.deaf && w.s.reach(h, w) {
-						finish(a, true)
+						x.finish(a, true)
 					}
 				})
 			})
 		})()
 	}
-	if w.mute {
-		return // it can't even connect
-	}
-	w.s.copyReport(r)
 	if w.cut {
 		w.held = append(w.held, deliver) // the report arrives late
 		return
@@ -197,43 +153,76 @@
 	w.s.after(w.s.delay(), deliver)
 }
 
-// copyReport lets a copy of a report arrive late, at any controller, whatever has
-// become of the machine.
-func (s *sim) copyReport(r *protocol.Report) {
-	if s.keptCopies > 0 && len(s.kept) < mostKept && s.rand.Float64() < s.keptCopies {
-		s.kept = append(s.kept, r)
+// Times of a worker's reports, by the protocol.
+const (
+	answerPatience = 4 * time.Second // how long it waits for an answer
+	redirectPause  = 200 * time.Millisecond
+	nextNodePause  = time.Second
+)
+
+// exchange is a report under way.
+type exchange struct {
+	w        *worker
+	sent     time.Duration
+	session  uint64
+	answered bool
+}
+
+// finish takes in the answer, or that none came, and sees to the next report.
+func (x *exchange) finish(a coordination.Answer, came bool) {
+	w, s := x.w, x.w.s
+	if x.answered || w.dead || w.hangs() || s.now-x.sent > answerPatience+time.Millisecond {
+		return // it waits no longer for this answer
 	}
-	if s.copies == 0 || s.rand.Float64() >= s.copies {
-		return
+	x.answered, w.flying = true, false
+	untilNext := time.Duration((0.75 + 0.5*s.rand.Float64()) * float64(s.cluster.Workers.Report()))
+	pause := nextNodePause
+	switch {
+	case came && a.Status == http.StatusOK:
+		x.accept(a.Body.(protocol.ReportAnswer))
+		pause = untilNext
+	case came && a.Status == http.StatusMisdirectedRequest:
+		if w.redirect(a.Body.(protocol.Redirect).Boss) {
+			pause = redirectPause
+		}
+	default:
+		w.next()
+	}
+	if w.dirty {
+		w.dirty = false
+		w.changed()
 	}
-	late := s.copyLeast + time.Duration(s.rand.Int64N(int64(s.copyMost-s.copyLeast)+1))
-	h := s.nodes[s.rand.IntN(len(s.nodes))]
-	s.after(late, func() {
-		if p := h.p; p != nil && !h.noWorkers {
-			p.guard(func() { p.node.OnReport(r, func(coordination.Answer) {}) })()
+	seq := w.seq
+	s.after(pause, func() {
+		if w.seq == seq || s.now-w.last >= s.cluster.Workers.Report()/2 {
+			w.report()
 		}
 	})
 }
 
-// mostKept bounds the reports that are kept for the next leader.
-const mostKept = 1000
-
-// releaseCopies lets the kept copies of reports arrive at every controller, as a
-// new leader begins.
-func (s *sim) releaseCopies() {
-	if len(s.kept) > 0 {
-		s.noteFault("kept-copies", time.Second)
+// accept carries out an answer 200, unless it is of a lower token or session.
+func (x *exchange) accept(o protocol.ReportAnswer) {
+	w := x.w
+	if o.Token < w.token || x.session != w.session {
+		return
 	}
-	for _, r := range s.kept {
-		for _, h := range s.nodes {
-			s.after(time.Duration(s.rand.Int64N(int64(time.Second))), func() {
-				if p := h.p; p != nil && !h.noWorkers {
-					p.guard(func() { p.node.OnReport(r, func(coordination.Answer) {}) })()
-				}
-			})
-		}
+	if o.Token > w.token {
+		w.token = o.Token
+		w.changed()
+	}
+	w.leaseAt = x.sent
+	w.obey(o.Commands)
+}
+
+// redirect turns to the controller named, or to the next where that is none other.
+func (w *worker) redirect(boss string) bool {
+	i := slices.IndexFunc(w.s.nodes, func(h *host) bool { return h.name == boss })
+	if i < 0 || i == w.node {
+		w.next()
+		return false
 	}
-	s.kept = nil
+	w.node = i
+	return true
 }
 
 func (w *worker) next() { w.node = (w.node + 1) % len(w.s.nodes) }
@@ -259,7 +248,7 @@
 }
 
 // direct carries out commands sent straight to the worker.
-func (w *worker) direct(o protocol.DirectOrders) (*protocol.Report, bool) {
+func (w *worker) direct(o protocol.CommandRequest) (*protocol.Report, bool) {
 	if o.Token < w.token || o.Session != w.session {
 		return w.status(), false
 	}
@@ -387,75 +376,3 @@
 		}
 	})
 }
-
-// workerLink is a process's way to the workers.
-type workerLink struct{ p *process }
-
-// Command implements coordination.Workers.
-func (l workerLink) Command(addr string, o protocol.DirectOrders, done func(*protocol.Report, bool, error)) {
-	s := l.p.h.s
-	fail := func() {
-		s.after(2*time.Second, l.p.guard(func() { done(nil, false, protocol.ErrUnknown) }))
-	}
-	for _, w := range s.workers {
-		if w.r.Address != addr {
-			continue
-		}
-		if !s.reach(l.p.h, w) {
-			break
-		}
-		if w.cut || w.hangs() {
-			// Held back, and carried out once the cut ends.
-			w.held = append(w.held, func() { w.direct(o) })
-			break
-		}
-		if s.lateCommands > 0 && s.rand.Float64() < s.lateCommands {
-			// Held up on its way, and carried out once if token and session still match.
-			late := s.lateLeast + time.Duration(s.rand.Int64N(int64(s.lateMost-s.lateLeast)+1))
-			s.noteFault("late-command", late)
-			s.after(late, func() {
-				if !w.dead && !w.hangs() {
-					w.direct(o)
-				}
-			})
-			break
-		}
-		there, back := s.delay(), time.Duration(0)
-		if s.drag > 0 && s.rand.Float64() < s.drag {
-			// Held up on its way there or back; the sender may give up meanwhile.
-			s.noteFault("held-command", s.dragMost)
-			d := time.Duration(s.rand.Int64N(int64(s.dragMost)))
-			if s.rand.IntN(2) == 0 {
-				there += d
-			} else {
-				back += d
-			}
-		}
-		given := there+back > 2*time.Second
-		if given {
-			fail()
-		}
-		s.after(there, func() {
-			if w.dead || w.cut || w.deaf || w.hangs() {
-				if !given {
-					fail()
-				}
-				return
-			}
-			r, ok := w.direct(o)
-			if s.rand.Float64() < s.echo {
-				// A late copy of a request that was carried out.
-				s.after(time.Duration(s.rand.Int64N(int64(20*time.Second))), func() {
-					if !w.dead {
-						w.direct(o)
-					}
-				})
-			}
-			if !given {
-				s.after(back+s.delay(), l.p.guard(func() { done(r, ok, nil) }))
-			}
-		})
-		return
-	}
-	fail()
-}
--- /dev/null
+++ b/internal/scenario/worker_copies.go
@@ -0,0 +1,47 @@
+package scenario
+
+import (
+	"time"
+
+	"rockrun/internal/coordination"
+	"rockrun/internal/protocol"
+)
+
+// copyReport lets a copy of a report arrive late, at any controller, whatever has
+// become of the machine.
+func (s *sim) copyReport(r *protocol.Report) {
+	if s.keptCopies > 0 && len(s.kept) < mostKept && s.rand.Float64() < s.keptCopies {
+		s.kept = append(s.kept, r)
+	}
+	if s.copies == 0 || s.rand.Float64() >= s.copies {
+		return
+	}
+	late := s.copyLeast + time.Duration(s.rand.Int64N(int64(s.copyMost-s.copyLeast)+1))
+	h := s.nodes[s.rand.IntN(len(s.nodes))]
+	s.after(late, func() {
+		if p := h.p; p != nil && !h.noWorkers {
+			p.guard(func() { p.node.OnReport(r, func(coordination.Answer) {}) })()
+		}
+	})
+}
+
+// mostKept bounds the reports that are kept for the next leader.
+const mostKept = 1000
+
+// releaseCopies lets the kept copies of reports arrive at every controller, as a
+// new leader begins.
+func (s *sim) releaseCopies() {
+	if len(s.kept) > 0 {
+		s.noteFault("kept-copies", time.Second)
+	}
+	for _, r := range s.kept {
+		for _, h := range s.nodes {
+			s.after(time.Duration(s.rand.Int64N(int64(time.Second))), func() {
+				if p := h.p; p != nil && !h.noWorkers {
+					p.guard(func() { p.node.OnReport(r, func(coordination.Answer) {}) })()
+				}
+			})
+		}
+	}
+	s.kept = nil
+}
--- a/internal/transport/backend.go
+++ b/internal/transport/backend.go
@@ -137,7 +137,7 @@
 type WorkerCalls struct{ *Backend }
 
 // Command implements coordination.Workers.
-func (b WorkerCalls) Command(addr string, o protocol.DirectOrders, done func(*protocol.Report, bool, error)) {
+func (b WorkerCalls) Command(addr string, o protocol.CommandRequest, done func(*protocol.Report, bool, error)) {
 	b.run(b.workers, func() func() {
 		r, ok, err := b.WorkerC.Command(addr, o)
 		return func() { done(r, ok, err) }
--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -60,21 +60,21 @@
 	})
 }
 
-func (g *granted) Command(string, protocol.DirectOrders, func(*protocol.Report, bool, error)) {}
+func (g *granted) Command(string, protocol.CommandRequest, func(*protocol.Report, bool, error)) {}
 
-// Ask implements coordination.Peers: the first ping tells the incarnation that
+// Ask implements coordination.Peers: the first heartbeat tells the incarnation that
 // the grant must name.
 func (g *granted) Ask(_ string, r protocol.PeerRequest, done func(protocol.PeerAnswer, error)) {
-	if r.Ping == nil {
+	if r.Heartbeat == nil {
 		return
 	}
 	if len(g.items) > 0 && g.items[len(g.items)-1].Key != "granted" {
 		g.items = append(g.items, protocol.Item{Key: "granted"})
-		rec := bookkeeping.GrantRecord{Node: "a", Incarnation: r.Ping.Incarnation, Token: 1 << 44}
+		rec := bookkeeping.GrantRecord{Node: "a", Incarnation: r.Heartbeat.Incarnation, Token: 1 << 44}
 		g.events = []protocol.Event{{Put: bookkeeping.GrantKey(0), Value: bookkeeping.Encode(rec), Version: 1000}}
 	}
-	pong := &protocol.Pong{Leader: true, Term: 1, SentAt: r.Ping.SentAt, Shards: []int{0}}
-	g.loop.After(0, func() { done(protocol.PeerAnswer{Pong: pong}, nil) })
+	reply := &protocol.HeartbeatReply{Leader: true, Term: 1, SentAt: r.Heartbeat.SentAt, Shards: []int{0}}
+	g.loop.After(0, func() { done(protocol.PeerAnswer{Reply: reply}, nil) })
 }
 
 // holding starts a server whose node holds machines, and returns its address.
@@ -237,7 +237,7 @@
 		}
 	}()
 	grace := 0.0
-	o := protocol.DirectOrders{Token: 1 << 44, Session: 1, Commands: []protocol.Command{{Verb: protocol.VerbStop, Task: "run-1/0", Attempt: 1, GraceS: &grace}}}
+	o := protocol.CommandRequest{Token: 1 << 44, Session: 1, Commands: []protocol.Command{{Verb: protocol.VerbStop, Task: "run-1/0", Attempt: 1, GraceS: &grace}}}
 	for name, limit := range map[string]int{"open": 16, "new": 1} { // above three quarters of the limit connections are closed
 		b.Run(name, func(b *testing.B) {
 			w := protocol.WorkerClient{HTTP: NewClient(2, limit, time.Minute), Timeout: time.Second}
--- a/internal/transport/limiter.go
+++ b/internal/transport/limiter.go
@@ -19,7 +19,7 @@
 
 // Limiter bounds the users' requests in progress. The bound follows measured
 // times: it narrows when they rise above what they were and recovers when they
-// fall. Questions are shed first; withdrawals pass even above the bound, and
+// fall. Questions are shed first; cancellations pass even above the bound, and
 // health checks and workers' reports never come here.
 type Limiter struct {
 	limit adaptivelimiter.AdaptiveLimiter[any]
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -66,7 +66,7 @@
 	}))
 	s.app.Post("/submissions/:id/withdraw", s.limited(classWithdraw, func(c *fiber.Ctx, reply func(coordination.Answer)) {
 		id := string(append([]byte(nil), c.Params("id")...))
-		s.post(reply, func() { node.Withdraw(id, reply) })
+		s.post(reply, func() { node.Cancel(id, reply) })
 	}))
 	s.app.Get("/autoscaler/status", s.operator(func(n *coordination.Node) any { st, _ := n.Autoscaler(); return st }))
 	s.app.Get("/autoscaler/history", s.operator(func(n *coordination.Node) any { _, h := n.Autoscaler(); return h }))
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -20,7 +20,7 @@
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
 // TestLimiter shows that the limit narrows when measured times rise above what
-// they were, that requests beyond it are refused at once with withdrawals shed
+// they were, that requests beyond it are refused at once with cancellations shed
 // last, and that it recovers.
 func TestLimiter(t *testing.T) {
 	l := NewLimiter(2, 40)
@@ -92,7 +92,7 @@
 			t.Fatal(err)
 		}
 		go ServePeers(ln, 8, loop, func(r protocol.PeerRequest, reply func(protocol.PeerAnswer)) {
-			reply(protocol.PeerAnswer{Pong: &protocol.Pong{Leader: true, Term: r.Ping.Term + 1, Shards: []int{2}}})
+			reply(protocol.PeerAnswer{Reply: &protocol.HeartbeatReply{Leader: true, Term: r.Heartbeat.Term + 1, Shards: []int{2}}})
 		}, quiet)
 		return ln
 	}
@@ -105,14 +105,14 @@
 			err error
 		}
 		got := make(chan result, 1)
-		calls.Ask(node, protocol.PeerRequest{Ping: &protocol.Ping{Node: "a", Term: 6, Machines: []protocol.MachineNote{{Name: "m-1"}}}},
+		calls.Ask(node, protocol.PeerRequest{Heartbeat: &protocol.Heartbeat{Node: "a", Term: 6, Machines: []protocol.MachineNote{{Name: "m-1"}}}},
 			func(a protocol.PeerAnswer, err error) { got <- result{a, err} })
 		r := <-got
 		return r.a, r.err
 	}
 	for range 3 {
-		if a, err := ask("b"); err != nil || a.Pong == nil || a.Pong.Term != 7 || len(a.Pong.Shards) != 1 {
-			t.Fatalf("%+v, %v", a.Pong, err)
+		if a, err := ask("b"); err != nil || a.Reply == nil || a.Reply.Term != 7 || len(a.Reply.Shards) != 1 {
+			t.Fatalf("%+v, %v", a.Reply, err)
 		}
 	}
 	if _, err := ask("c"); !errors.Is(err, protocol.ErrNotDone) {
@@ -246,7 +246,7 @@
 			"catalogue": func() error { _, err := cloud.Catalogue(); return err },
 			"rent":      func() error { _, err := cloud.Rent(protocol.Rent{}); return err },
 			"machines":  func() error { _, err := cloud.List(); return err },
-			"command":   func() error { _, _, err := worker.Command(addr, protocol.DirectOrders{}); return err },
+			"command":   func() error { _, _, err := worker.Command(addr, protocol.CommandRequest{}); return err },
 		} {
 			if empty := answer == `{"epoch":"x"}` && (name == "catalogue" || name == "machines"); empty {
 				continue // an empty list, as it may be
