--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -14,7 +14,7 @@
 
 // bench is a node whose every neighbour is written down here.
 type bench struct {
-	t      *testing.T
+	t      testing.TB
 	n      *Node
 	now    time.Duration
 	timers []func()
@@ -55,7 +55,7 @@
 
 // newBench makes a node that holds one machine under a fresh grant; the record
 // of an earlier holder says that run-1/0 may be on it.
-func newBench(t *testing.T, intents ...string) *bench {
+func newBench(t testing.TB, intents ...string) *bench {
 	b := &bench{t: t, now: time.Minute}
 	b.n = New(Config{
 		Settings: &config.Settings{Node: "a", Cluster: config.Cluster{
