New tasks are written before what drained machines leave to be cleaned up

Each drained machine makes a page due, and new tasks were spread over the due pages: with a few dozen of them new tasks waited for seconds while their machines stood idle. Pages with most new tasks are written first, new ones gather there, and nothing is encoded while nothing can be written.

--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -3,8 +3,9 @@
 import (
 	"cmp"
 	"maps"
-	"rockrun/internal/bookkeeping"
 	"slices"
+
+	"rockrun/internal/bookkeeping"
 )
 
 // claim drains machines of one home for work of a higher rank that waits in
--- a/internal/coordination/give_up.go
+++ b/internal/coordination/give_up.go
@@ -1,9 +1,10 @@
 package coordination
 
 import (
+	"time"
+
 	"rockrun/internal/bookkeeping"
 	"rockrun/internal/protocol"
-	"time"
 )
 
 // giveUp returns a machine that has stopped, is silent, unresponsive or has never
--- a/internal/coordination/record_batch.go
+++ b/internal/coordination/record_batch.go
@@ -1,10 +1,13 @@
 package coordination
 
 import (
+	"cmp"
 	"errors"
+	"slices"
+	"time"
+
 	"rockrun/internal/bookkeeping"
 	"rockrun/internal/protocol"
-	"time"
 )
 
 // batch is a transaction with the pages that it writes.
@@ -36,7 +39,6 @@
 // would starve beside others that take one or two as they come.
 func (d *recordWriter) dueWrites(now time.Duration) *batch {
 	n := d.h.n
-	n.budget.fill(now)
 	b := &batch{}
 	b.txn.If = []protocol.Cond{{Key: bookkeeping.GrantKey(d.shard), Version: n.cache.Grants[d.shard].Version}}
 	most := min(n.Settings.Cluster.State.TxnOps, d.most, max(1, int(n.budget.level)))
@@ -52,19 +54,29 @@
 			b.add(bookkeeping.DoneKey(p.id), n.cache.DoneVersion(p.id), op)
 		}
 	}
+	due := d.duePages(now)
+	for _, p := range due[:min(len(due), max(most-len(b.txn.Then), 0))] {
+		b.pages = append(b.pages, p)
+		b.add(bookkeeping.IntentKey(p.id), n.cache.IntentVersion(p.id), d.intents(p))
+	}
+	return b
+}
+
+// duePages lists the pages of intents that are to be written, those with most new
+// tasks first. Every drained machine makes a page due as well; written in turn, a few
+// dozen of those would keep new tasks waiting for seconds while machines stand idle.
+func (d *recordWriter) duePages(now time.Duration) []*intentPage {
+	n := d.h.n
 	spare := n.budget.level > n.budget.rate/2 // removals alone wait until others need no writes
+	var due []*intentPage
 	for _, p := range d.pages {
 		stale := p.dirtyAt > 0 && spare && now-p.dirtyAt > staleAfter
-		if len(b.txn.Then) >= most || !p.idle(n) || !p.dirty && !stale {
-			continue
-		}
-		version := n.cache.IntentVersion(p.id)
-		if len(p.attempts) > 0 || version != 0 {
-			b.pages = append(b.pages, p)
-			b.add(bookkeeping.IntentKey(p.id), version, d.intents(p))
+		if p.idle(n) && (p.dirty || stale) && (len(p.attempts) > 0 || n.cache.IntentVersion(p.id) != 0) {
+			due = append(due, p)
 		}
 	}
-	return b
+	slices.SortStableFunc(due, func(a, b *intentPage) int { return cmp.Compare(b.fresh, a.fresh) })
+	return due
 }
 
 // written takes in how a write ended.
@@ -89,6 +101,7 @@
 		// transactions get through and large ones starve.
 		d.most = max(1, d.most/2)
 		for _, p := range b.pages {
+			p.fresh += p.freshSent
 			p.unknown = p.unknown || errors.Is(err, protocol.ErrUnknown)
 		}
 	}
--- a/internal/coordination/record_writer.go
+++ b/internal/coordination/record_writer.go
@@ -53,7 +53,7 @@
 	return !s.writing && n.revision >= s.wroteAt && n.now() >= s.retryAt
 }
 
-// intentPage is a intentPage of intents.
+// intentPage is a page of intents.
 type intentPage struct {
 	pageState
 	attempts map[*attempt]bool
@@ -63,6 +63,9 @@
 	named   map[*holding]bool
 	unknown bool
 	cond    uint64
+	// Attempts that no write has named yet, and those that the last one was the
+	// first to name.
+	fresh, freshSent int
 }
 
 // donePage is a page of completed tasks.
@@ -231,6 +234,10 @@
 		d.settle(p)
 	}
 	d.assign()
+	n.budget.fill(now)
+	if n.budget.level < min(1, n.budget.rate) {
+		return // nothing can be written, so nothing is encoded
+	}
 	b := d.dueWrites(now)
 	if len(b.txn.Then) == 0 || !n.budget.take(now, len(b.txn.Then)) {
 		return
@@ -238,6 +245,7 @@
 	d.flushAt = now + flushPause
 	for _, p := range b.pages {
 		p.cond = n.cache.IntentVersion(p.id)
+		p.fresh, p.freshSent = 0, p.fresh
 		for a := range p.attempts {
 			p.named[a.on] = true
 		}
@@ -263,8 +271,8 @@
 		}
 	}
 	slices.SortStableFunc(free, func(a, b *intentPage) int {
-		// One that is to be written anyway comes first.
-		return cmp.Or(compareBool(b.dirty, a.dirty), cmp.Compare(a.bytes, b.bytes))
+		// One that is to be written soonest, or anyway, comes first.
+		return cmp.Or(cmp.Compare(b.fresh, a.fresh), compareBool(b.dirty, a.dirty), cmp.Compare(a.bytes, b.bytes))
 	})
 	// A write costs the same however much of a page is new. Among full pages each
 	// would carry the few entries that have just ended there, and where writes are
@@ -293,6 +301,7 @@
 			free = append(free, d.intentPageAt(len(d.pages)))
 		}
 		free[0].put(a)
+		free[0].fresh++
 		free[0].dirty = true
 	}
 	d.unassigned = slices.DeleteFunc(d.unassigned, func(a *attempt) bool { return a.page != nil })
