--- a/cmd/rockrun/main.go
+++ b/cmd/rockrun/main.go
@@ -59,6 +59,9 @@
 	if err != nil {
 		return err
 	}
+	for _, w := range s.Warnings() {
+		fmt.Printf("warning: %s: %s\n", w.Field, w.Why)
+	}
 	fmt.Printf("ok: node %s of %d, %d teams, block lease %s\n",
 		s.Node, len(s.Siblings)+1, len(s.Cluster.Teams), o.BlockLease(s.Cluster.Workers))
 	return nil
@@ -92,15 +95,20 @@
 		limit = 4096
 	}
 	sockets := transport.SplitSockets(limit, len(s.Siblings))
-	if limit < 256 {
-		log.Warn("few sockets: reports and commands will wait", "fd_limit", limit)
+	for _, w := range s.Warnings() {
+		log.Warn("small machine", "field", w.Field, "why", w.Why)
 	}
 	outside := transport.NewClient(sockets.State, sockets.State+sockets.Cloud, 20*time.Second)
 	// Tasks follow one another on a machine every quarter of a minute or so, and a
 	// connection made anew costs three times the command itself. Above three
 	// quarters of their part of the sockets connections are closed at once.
 	toWorkers := transport.NewClient(2, sockets.Workers, 20*time.Second)
-	back := transport.NewBackend(loop, sockets,
+	limiter := transport.NewLimiter(4, 200)
+	metrics := transport.NewMetrics(limiter)
+	metrics.Connections("workers", toWorkers)
+	metrics.Connections("services", outside)
+	metrics.Limits(s.Cluster.Limits.Cores, s.Cluster.Limits.MemoryMB)
+	back := transport.NewBackend(loop, sockets, metrics,
 		&protocol.StateClient{HTTP: outside, Addr: s.External.State, Timeout: 2 * time.Second},
 		&protocol.CloudClient{HTTP: outside, Addr: s.External.Cloud, Timeout: 5 * time.Second},
 		&protocol.WorkerClient{HTTP: toWorkers, Timeout: 2 * time.Second})
@@ -114,10 +122,7 @@
 		Workers: transport.WorkerCalls{Backend: back}, Peers: transport.NewPeerCalls(loop, addrs),
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	limiter := transport.NewLimiter(4, 200)
-	metrics := transport.NewMetrics(limiter)
-	metrics.Connections("workers", toWorkers)
-	metrics.Connections("services", outside)
+	metrics.Passes(node.Passes)
 	server := transport.NewServer(loop, node, limiter, metrics, sockets.Public)
 
 	go loop.Run()
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -229,3 +229,33 @@
 		t.Errorf("%d bytes for each machine", n)
 	}
 }
+
+// BenchmarkPageWritten is the value of a page of intents, made to be written.
+func BenchmarkPageWritten(b *testing.B) {
+	g := grownBench(b)
+	w := g.n.hold.writers[0]
+	b.ReportAllocs()
+	for b.Loop() {
+		if op := w.intents(w.pages[0]); len(op.Value) == 0 {
+			b.Fatal("an empty value")
+		}
+	}
+}
+
+// BenchmarkSizerCycle is a cycle of the sizer over a grown fleet on which work waits.
+func BenchmarkSizerCycle(b *testing.B) {
+	g := grownBench(b)
+	g.waitingJob()
+	const lease = 9
+	g.n.candidateLeases[lease] = true
+	g.apply(bookkeeping.KeyLeader, bookkeeping.LeaderRecord{Node: "a", Incarnation: g.n.incarnation, Term: 6, Lease: lease})
+	g.n.checkLeadership()
+	if g.n.lead == nil {
+		b.Fatal("it does not lead")
+	}
+	g.n.lead.fleet.gotTypes = true
+	b.ReportAllocs()
+	for b.Loop() {
+		g.n.lead.fleet.size(g.now)
+	}
+}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -314,6 +314,7 @@
 	if !n.ready {
 		return
 	}
+	n.passes.Add(1)
 	began := n.now()
 	h.stopForDrains()
 	h.place()
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"rockrun/internal/bookkeeping"
@@ -115,14 +116,18 @@
 	heardFrom        []time.Duration // by shard: when one of its machines last reported here; 0: never
 	leaderAnsweredAt time.Duration   // when the leader's last answer that counts came
 	healthyPeers     int             // what it said of the others then
-	livenessAt       time.Duration   // no liveness record in the records before
+	livenessAt       time.Duration   // no liveness record is written before
 
 	notices       map[string]*cancellationNotices // by controller
 	hold          *holder
 	orphanReports map[string]protocol.Report
 	stopped       bool
+	passes        atomic.Uint64
 }
 
+// Passes returns how many passes there were; it may be called from any goroutine.
+func (n *Node) Passes() uint64 { return n.passes.Load() }
+
 // New makes a node; Start sets it going.
 func New(c Config) *Node {
 	n := &Node{Config: c}
--- a/internal/transport/backend.go
+++ b/internal/transport/backend.go
@@ -16,12 +16,13 @@
 	CloudC  *protocol.CloudClient
 	WorkerC *protocol.WorkerClient
 
+	metrics               *Metrics
 	state, cloud, workers chan struct{}
 }
 
 // NewBackend bounds the calls under way.
-func NewBackend(loop *Loop, sockets Sockets, s *protocol.StateClient, c *protocol.CloudClient, w *protocol.WorkerClient) *Backend {
-	return &Backend{Loop: loop, StateC: s, CloudC: c, WorkerC: w,
+func NewBackend(loop *Loop, sockets Sockets, metrics *Metrics, s *protocol.StateClient, c *protocol.CloudClient, w *protocol.WorkerClient) *Backend {
+	return &Backend{Loop: loop, metrics: metrics, StateC: s, CloudC: c, WorkerC: w,
 		state: make(chan struct{}, sockets.State), cloud: make(chan struct{}, sockets.Cloud), workers: make(chan struct{}, min(sockets.Workers/2, 128))}
 }
 
@@ -62,6 +63,7 @@
 func (b StateCalls) Txn(t protocol.Txn, done func(uint64, error)) {
 	b.run(b.state, func() func() {
 		rev, err := b.StateC.Txn(t)
+		b.metrics.transactions.WithLabelValues(result(err)).Inc()
 		return func() { done(rev, err) }
 	}, func(err error) { done(0, err) })
 }
@@ -94,6 +96,7 @@
 func (b StateCalls) Follow(prefix string, after uint64, wait time.Duration, done func(protocol.Changes, error)) {
 	b.run(b.state, func() func() {
 		c, err := b.StateC.Follow(prefix, after, wait)
+		b.metrics.changes.Add(float64(len(c.Events)))
 		return func() { done(c, err) }
 	}, func(err error) { done(protocol.Changes{}, err) })
 }
@@ -140,6 +143,7 @@
 func (b WorkerCalls) Command(addr string, o protocol.CommandRequest, done func(*protocol.Report, bool, error)) {
 	b.run(b.workers, func() func() {
 		r, ok, err := b.WorkerC.Command(addr, o)
+		b.metrics.commands.WithLabelValues(result(err)).Inc()
 		return func() { done(r, ok, err) }
 	}, func(err error) { done(nil, false, err) })
 }
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -1,11 +1,15 @@
 package transport
 
 import (
+	"errors"
+
 	"github.com/gofiber/fiber/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"rockrun/internal/protocol"
 )
 
 // Metrics are what a node exports for Prometheus.
@@ -16,6 +20,10 @@
 	shed     *prometheus.CounterVec
 	refused  prometheus.Counter
 	handler  fiber.Handler
+
+	commands     *prometheus.CounterVec
+	transactions *prometheus.CounterVec
+	changes      prometheus.Counter
 }
 
 // NewMetrics makes a registry of its own; there is no global one.
@@ -32,9 +40,19 @@
 		refused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "rockrun_reports_refused_total", Help: "Worker reports that could not be read.",
 		}),
+		commands: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rockrun_commands_total", Help: "Direct commands to workers, by result.",
+		}, []string{"result"}),
+		transactions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rockrun_transactions_total", Help: "Transactions of the state service, by result.",
+		}, []string{"result"}),
+		changes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rockrun_changes_total", Help: "Changes of records that were read.",
+		}),
 	}
 	m.reports = m.requests.WithLabelValues("report", "200")
-	m.registry.MustRegister(m.requests, m.shed, m.refused, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.requests, m.shed, m.refused, m.commands, m.transactions, m.changes,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "rockrun_requests_limit", Help: "Present bound on user requests in progress.",
 		}, func() float64 { return float64(limiter.Limit()) }))
@@ -53,6 +71,35 @@
 	}, func() float64 { return float64(g.Open()) }))
 }
 
+// Limits exports what the machine allows, beside what the process uses.
+func (m *Metrics) Limits(cores, memoryMB float64) {
+	for name, value := range map[string]float64{"cores": cores, "memory_bytes": memoryMB * (1 << 20)} {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "rockrun_limit_" + name, Help: "What the settings allow the process; 0: not said.",
+		}, func() float64 { return value }))
+	}
+}
+
+// Passes exports how many placing passes there were.
+func (m *Metrics) Passes(count func() uint64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "rockrun_passes_total", Help: "Passes over all that the controller holds.",
+	}, func() float64 { return float64(count()) }))
+}
+
+// result names how a call to the outside ended.
+func result(err error) string {
+	switch {
+	case err == nil:
+		return "done"
+	case errors.Is(err, protocol.ErrConflict):
+		return "conflict"
+	case errors.Is(err, protocol.ErrNotDone):
+		return "refused"
+	}
+	return "unknown"
+}
+
 // Connections exports how many connections a client has open.
 func (m *Metrics) Connections(kind string, c *Client) { m.connections(kind, c) }
 
--- /dev/null
+++ b/internal/transport/metrics_test.go
@@ -0,0 +1,74 @@
+package transport
+
+import (
+	"testing"
+	"time"
+
+	"rockrun/internal/protocol"
+)
+
+// value is what a metric with a label of a value, or without labels, stands at; -1
+// where there is none.
+func value(t *testing.T, m *Metrics, name, label string) float64 {
+	t.Helper()
+	families, err := m.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		if f.GetName() != name {
+			continue
+		}
+		for _, x := range f.GetMetric() {
+			if label != "" && (len(x.GetLabel()) != 1 || x.GetLabel()[0].GetValue() != label) {
+				continue
+			}
+			if f.GetType().String() == "GAUGE" {
+				return x.GetGauge().GetValue()
+			}
+			return x.GetCounter().GetValue()
+		}
+	}
+	return -1
+}
+
+// TestCountsByKind: every call to the outside is counted once, by how it ended.
+func TestCountsByKind(t *testing.T) {
+	loop := NewLoop()
+	go loop.Run()
+	defer loop.Close()
+	metrics := NewMetrics(NewLimiter(4, 100))
+	metrics.Limits(0.06, 81)
+	passes := uint64(7)
+	metrics.Passes(func() uint64 { return passes })
+	client := NewClient(4, 32, time.Second)
+	const nowhere = "127.0.0.1:1"
+	back := NewBackend(loop, SplitSockets(200, 0), metrics,
+		&protocol.StateClient{HTTP: client, Addr: nowhere, Timeout: time.Second},
+		&protocol.CloudClient{HTTP: client, Addr: nowhere, Timeout: time.Second},
+		&protocol.WorkerClient{HTTP: client, Timeout: time.Second})
+	ended := make(chan error, 2)
+	StateCalls{back}.Txn(protocol.Txn{}, func(_ uint64, err error) { ended <- err })
+	WorkerCalls{back}.Command(nowhere, protocol.CommandRequest{}, func(_ *protocol.Report, _ bool, err error) { ended <- err })
+	for range 2 {
+		if err := <-ended; err == nil {
+			t.Fatal("nobody listens there")
+		}
+	}
+	for _, c := range []struct {
+		name, label string
+		want        float64
+	}{
+		{"rockrun_transactions_total", "unknown", 1},
+		{"rockrun_transactions_total", "done", -1},
+		{"rockrun_commands_total", "unknown", 1},
+		{"rockrun_changes_total", "", 0},
+		{"rockrun_passes_total", "", 7},
+		{"rockrun_limit_cores", "", 0.06},
+		{"rockrun_limit_memory_bytes", "", 81 << 20},
+	} {
+		if got := value(t, metrics, c.name, c.label); got != c.want {
+			t.Errorf("%s %s: %v, not %v", c.name, c.label, got, c.want)
+		}
+	}
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -139,7 +139,9 @@
 	go loop.Run()
 	defer loop.Close()
 	client := NewClient(4, 32, time.Second)
-	back := NewBackend(loop, SplitSockets(200, 0),
+	limiter := NewLimiter(4, 100)
+	metrics := NewMetrics(limiter)
+	back := NewBackend(loop, SplitSockets(200, 0), metrics,
 		&protocol.StateClient{HTTP: client, Addr: "127.0.0.1:1", Timeout: time.Second},
 		&protocol.CloudClient{HTTP: client, Addr: "127.0.0.1:1", Timeout: time.Second},
 		&protocol.WorkerClient{HTTP: client, Timeout: time.Second})
@@ -153,8 +155,7 @@
 		State: StateCalls{back}, Cloud: CloudCalls{back}, Workers: WorkerCalls{back}, Peers: NewPeerCalls(loop, nil),
 		Rand: rand.New(rand.NewPCG(1, 1)),
 	})
-	limiter := NewLimiter(4, 100)
-	server := NewServer(loop, node, limiter, NewMetrics(limiter), 100)
+	server := NewServer(loop, node, limiter, metrics, 100)
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
