Tasks that share a zone go where there is room for most of them, booting machines included

Cause: the home put the first task of such a job on whichever machine was free first; when one in another zone became free while machines rented for the job booted, all its tasks went there and those machines came up for nothing.

--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -43,6 +43,13 @@
 			h.placeGang(machines, w, promised, now)
 			continue
 		}
+		if w.job.OneZone && w.prog.attempts == 0 {
+			if zone := h.gatheringZone(w); zone >= 0 {
+				machines := slices.DeleteFunc(slices.Clone(machines), func(x *holding) bool { return x.m.ZoneIdx != zone })
+				placed = h.placeTasks(machines, w, now) || placed
+				continue
+			}
+		}
 		hopeless := slices.ContainsFunc(failed, func(j *bookkeeping.Job) bool { return harder(w.job, j) })
 		promises, open := 0, max(1, w.job.Tasks-w.prog.doneN-w.prog.attempts)
 		for {
@@ -73,6 +80,51 @@
 	}
 }
 
+// placeTasks gives as many tasks of a job to machines as these take.
+func (h *holder) placeTasks(machines []*holding, w waiting, now time.Duration) (placed bool) {
+	for task := h.nextOpen(w.job, w.prog); task >= 0 && h.underLimit(w.job); task = h.nextOpen(w.job, w.prog) {
+		x := h.choose(machines, w.job, task, now)
+		if x == nil {
+			break
+		}
+		placed = true
+		h.plan(w.job, task, x, h.nextTry(x), now)
+	}
+	return placed
+}
+
+// gatheringZone is the zone to which the first task of a job goes whose tasks must
+// share one: a zone that has room for them all now, or the one in which the machines
+// held, those that still boot included, have most room. The first machine that is free
+// anywhere would settle it otherwise, and what was rented for the job in another zone
+// would come up for nothing. It is -1 where no machine can take any.
+func (h *holder) gatheringZone(w waiting) int {
+	rooms, ready := map[int]int{}, map[int]int{}
+	open := w.job.Tasks - w.prog.doneN
+	best := -1
+	for _, x := range h.list {
+		booting := x.seq == 0 && len(x.m.Intents) == 0
+		if x.shard != w.job.Home || x.m.Phase != bookkeeping.PhaseActive || !h.n.cache.Suits(w.job, x.m) || !booting && !h.usable(x, h.n.now()) {
+			continue
+		}
+		count := h.free(x).count(w.job)
+		rooms[x.m.ZoneIdx] += count
+		if !booting {
+			ready[x.m.ZoneIdx] += count
+		}
+		if ready[x.m.ZoneIdx] >= open {
+			return x.m.ZoneIdx
+		}
+		if z := x.m.ZoneIdx; best < 0 || rooms[z] > rooms[best] || rooms[z] == rooms[best] && z < best {
+			best = z
+		}
+	}
+	if best >= 0 && rooms[best] == 0 {
+		return -1
+	}
+	return best
+}
+
 // harder reports whether a place for a would also be one for b.
 func harder(a, b *bookkeeping.Job) bool {
 	return a.Home == b.Home && a.CPUs >= b.CPUs && a.GPUs >= b.GPUs && a.MemoryGB >= b.MemoryGB && (b.Spot || !a.Spot) &&
@@ -189,6 +241,16 @@
 	return j.CPUs <= r.cpus+1e-6 && j.GPUs <= r.gpus+1e-6 && j.MemoryGB <= r.memory+1e-6
 }
 
+// count is how many tasks of a job fit.
+func (r room) count(j *bookkeeping.Job) int {
+	n := 0
+	for r.fits(j) && n < j.Tasks {
+		r.take(j)
+		n++
+	}
+	return n
+}
+
 // take takes off what a task of a job needs.
 func (r *room) take(j *bookkeeping.Job) {
 	r.cpus -= j.CPUs
