--- a/internal/bookkeeping/cache.go
+++ b/internal/bookkeeping/cache.go
@@ -84,106 +84,129 @@
 	return b
 }
 
-// decode reads the value of a record.
-func decode[T any](key string, value json.RawMessage) (record T, err error) {
-	if err = json.Unmarshal(value, &record); err != nil {
-		return record, fmt.Errorf("record %s: %w", key, err)
+// apply reads a record that is newer than the one known and hands it to set. Older
+// ones are ignored.
+func apply[T any](key string, value json.RawMessage, version, known uint64, set func(record T) error) error {
+	if version <= known {
+		return nil
+	}
+	var record T
+	if err := json.Unmarshal(value, &record); err != nil {
+		return fmt.Errorf("record %s: %w", key, err)
 	}
-	return record, nil
+	return set(record)
 }
 
 // Apply takes in a record. Older versions than the one known are ignored.
 func (b *Cache) Apply(key string, value json.RawMessage, version uint64) error {
 	switch key {
 	case KeyLeader:
-		return b.applyLeader(value, version)
+		return apply(key, value, version, b.LeaderVer, func(r LeaderRecord) error {
+			b.Leader, b.LeaderVer = r, version
+			return nil
+		})
 	case KeyTerm:
-		return b.applyTerm(value, version)
+		return apply(key, value, version, b.TermVer, func(r TermRecord) error {
+			b.Term, b.TermVer = r.Term, version
+			return nil
+		})
 	case KeyTarget:
-		return b.applyTarget(value, version)
+		return apply(key, value, version, b.TargetVer, func(r TargetRecord) error {
+			b.Target, b.TargetVer = r, version
+			return nil
+		})
 	case KeyTypes:
-		return b.applyTypes(value, version)
+		return apply(key, value, version, b.TypesVer, func(r protocol.Catalogue) error {
+			b.setTypes(r, version)
+			return nil
+		})
 	case KeyHomes:
-		return b.applyHomes(value, version)
+		return apply(key, value, version, b.HomesVer, func(r HomesRecord) error { return b.setHomes(r, version) })
 	case KeyShares:
-		return b.applyShares(value, version)
+		return apply(key, value, version, b.SharesVer, func(r SharesRecord) error {
+			b.setShares(r, version)
+			return nil
+		})
 	}
+	return b.applyPrefixed(key, value, version)
+}
+
+// applyPrefixed takes in a record of which there are many.
+func (b *Cache) applyPrefixed(key string, value json.RawMessage, version uint64) error {
 	switch {
 	case strings.HasPrefix(key, prefixGrant):
 		return b.applyGrant(key, value, version)
 	case strings.HasPrefix(key, prefixLiveness):
-		return b.applyLiveness(key, value, version)
+		node := key[len(prefixLiveness):]
+		return apply(key, value, version, b.Liveness[node].Version, func(r LivenessRecord) error {
+			b.Liveness[node] = Liveness{r, version}
+			return nil
+		})
 	case strings.HasPrefix(key, prefixBlock):
 		return b.applyBlock(key, value, version)
-	case strings.HasPrefix(key, prefixIntent):
-		return b.applyIntents(key, value, version)
 	case strings.HasPrefix(key, prefixJob):
-		return b.applyJob(key, value, version)
+		j := b.job(key[len(prefixJob):])
+		return apply(key, value, version, j.Version, func(r JobRecord) error {
+			b.setJob(j, r, version)
+			return nil
+		})
+	case strings.HasPrefix(key, prefixIntent):
+		id, err := pageIn(key, prefixIntent)
+		if err != nil {
+			return err
+		}
+		return apply(key, value, version, b.IntentVersion(id), func(r IntentPage) error { return b.setIntents(id, r, version) })
 	case strings.HasPrefix(key, prefixDone):
-		return b.applyDone(key, value, version)
+		id, err := pageIn(key, prefixDone)
+		if err != nil {
+			return err
+		}
+		return apply(key, value, version, b.DoneVersion(id), func(r DonePage) error { return b.setDone(id, r, version) })
 	}
 	return nil
 }
 
-func (b *Cache) applyLeader(value json.RawMessage, version uint64) error {
-	if version <= b.LeaderVer {
-		return nil
-	}
-	r, err := decode[LeaderRecord](KeyLeader, value)
-	if err != nil {
-		return err
+// pageIn takes the page out of its key.
+func pageIn(key, prefix string) (PageID, error) {
+	id, ok := splitPage(key[len(prefix):])
+	if !ok {
+		return id, fmt.Errorf("record %s: not understood", key)
 	}
-	b.Leader, b.LeaderVer = r, version
-	return nil
+	return id, nil
 }
 
-func (b *Cache) applyTerm(value json.RawMessage, version uint64) error {
-	if version <= b.TermVer {
-		return nil
-	}
-	r, err := decode[TermRecord](KeyTerm, value)
-	if err != nil {
-		return err
+func (b *Cache) applyGrant(key string, value json.RawMessage, version uint64) error {
+	i, err := strconv.Atoi(key[len(prefixGrant):])
+	if err != nil || i < 0 || i >= len(b.Grants) {
+		return fmt.Errorf("record %s: no such shard", key)
 	}
-	b.Term, b.TermVer = r.Term, version
-	return nil
+	return apply(key, value, version, b.Grants[i].Version, func(r GrantRecord) error {
+		b.Grants[i] = Grant{r, version}
+		b.FleetSeen++
+		return nil
+	})
 }
 
-func (b *Cache) applyTarget(value json.RawMessage, version uint64) error {
-	if version <= b.TargetVer {
-		return nil
-	}
-	r, err := decode[TargetRecord](KeyTarget, value)
-	if err != nil {
-		return err
+func (b *Cache) applyBlock(key string, value json.RawMessage, version uint64) error {
+	id := key[len(prefixBlock):]
+	known := uint64(0)
+	if old := b.Blocks[id]; old != nil {
+		known = old.Version
 	}
-	b.Target, b.TargetVer = r, version
-	return nil
+	return apply(key, value, version, known, func(r BlockRecord) error {
+		b.setBlock(id, r, version)
+		return nil
+	})
 }
 
-func (b *Cache) applyTypes(value json.RawMessage, version uint64) error {
-	if version <= b.TypesVer {
-		return nil
-	}
-	r, err := decode[protocol.Catalogue](KeyTypes, value)
-	if err != nil {
-		return err
-	}
+func (b *Cache) setTypes(r protocol.Catalogue, version uint64) {
 	b.TypesVer = version
 	for _, t := range r.Types {
 		b.Types[b.TypeID(t.Name)] = t
 	}
-	return nil
 }
 
-func (b *Cache) applyHomes(value json.RawMessage, version uint64) error {
-	if version <= b.HomesVer {
-		return nil
-	}
-	r, err := decode[HomesRecord](KeyHomes, value)
-	if err != nil {
-		return err
-	}
+func (b *Cache) setHomes(r HomesRecord, version uint64) error {
 	if r.Homes < 1 || r.Homes > len(b.Grants) {
 		return fmt.Errorf("record %s: %d homes", KeyHomes, r.Homes)
 	}
@@ -193,105 +216,11 @@
 	return nil
 }
 
-func (b *Cache) applyShares(value json.RawMessage, version uint64) error {
-	if version <= b.SharesVer {
-		return nil
-	}
-	r, err := decode[SharesRecord](KeyShares, value)
-	if err != nil {
-		return err
-	}
+func (b *Cache) setShares(r SharesRecord, version uint64) {
 	b.SharesVer = version
 	for i := range b.Teams {
 		b.Teams[i].Shares = r[b.Teams[i].Name]
 	}
-	return nil
-}
-
-func (b *Cache) applyGrant(key string, value json.RawMessage, version uint64) error {
-	i, err := strconv.Atoi(key[len(prefixGrant):])
-	if err != nil || i < 0 || i >= len(b.Grants) {
-		return fmt.Errorf("record %s: no such shard", key)
-	}
-	if version <= b.Grants[i].Version {
-		return nil
-	}
-	r, err := decode[GrantRecord](key, value)
-	if err != nil {
-		return err
-	}
-	b.Grants[i] = Grant{r, version}
-	b.FleetSeen++
-	return nil
-}
-
-func (b *Cache) applyLiveness(key string, value json.RawMessage, version uint64) error {
-	node := key[len(prefixLiveness):]
-	if version <= b.Liveness[node].Version {
-		return nil
-	}
-	r, err := decode[LivenessRecord](key, value)
-	if err != nil {
-		return err
-	}
-	b.Liveness[node] = Liveness{r, version}
-	return nil
-}
-
-func (b *Cache) applyBlock(key string, value json.RawMessage, version uint64) error {
-	id := key[len(prefixBlock):]
-	if old := b.Blocks[id]; old != nil && version <= old.Version {
-		return nil
-	}
-	r, err := decode[BlockRecord](key, value)
-	if err != nil {
-		return err
-	}
-	b.setBlock(id, r, version)
-	return nil
-}
-
-func (b *Cache) applyIntents(key string, value json.RawMessage, version uint64) error {
-	id, ok := splitPage(key[len(prefixIntent):])
-	if !ok {
-		return fmt.Errorf("record %s: not understood", key)
-	}
-	if p := b.intents[id]; p != nil && version <= p.version {
-		return nil
-	}
-	r, err := decode[IntentPage](key, value)
-	if err != nil {
-		return err
-	}
-	return b.setIntents(id, r, version)
-}
-
-func (b *Cache) applyJob(key string, value json.RawMessage, version uint64) error {
-	j := b.job(key[len(prefixJob):])
-	if version <= j.Version {
-		return nil
-	}
-	r, err := decode[JobRecord](key, value)
-	if err != nil {
-		return err
-	}
-	b.setJob(j, r, version)
-	return nil
-}
-
-func (b *Cache) applyDone(key string, value json.RawMessage, version uint64) error {
-	id, ok := splitPage(key[len(prefixDone):])
-	if !ok {
-		return fmt.Errorf("record %s: not understood", key)
-	}
-	if p := b.done[id]; p != nil && version <= p.version {
-		return nil
-	}
-	r, err := decode[DonePage](key, value)
-	if err != nil {
-		return err
-	}
-	return b.setDone(id, r, version)
 }
 
 // Remove takes in that a key was removed.
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -93,6 +93,10 @@
 	return placed
 }
 
+// gatherPatience is how long a job waits for machines that boot in a better zone: some
+// never come up, and the cloud's word for that takes much longer.
+const gatherPatience = 45 * time.Second
+
 // gatheringZone is the zone to which the first task of a job goes whose tasks must
 // share one: a zone that has room for them all now, or the one in which the machines
 // held, those that still boot included, have most room. The first machine that is free
@@ -101,9 +105,10 @@
 func (h *holder) gatheringZone(w waiting) int {
 	rooms, ready := map[int]int{}, map[int]int{}
 	open := w.job.Tasks - w.prog.doneN
+	waited := time.Duration(h.n.Clock.Wall().UnixMilli()-w.job.AtMS) * time.Millisecond
 	best := -1
 	for _, x := range h.list {
-		booting := x.seq == 0 && len(x.m.Intents) == 0
+		booting := x.seq == 0 && len(x.m.Intents) == 0 && waited < gatherPatience
 		if x.shard != w.job.Home || x.m.Phase != bookkeeping.PhaseActive || !h.n.cache.Suits(w.job, x.m) || !booting && !h.usable(x, h.n.now()) {
 			continue
 		}
