--- a/internal/bookkeeping/cache.go
+++ b/internal/bookkeeping/cache.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/segmentio/encoding/json"
+	"encoding/json"
 
 	"rockrun/internal/protocol"
 )
@@ -91,7 +91,7 @@
 		return nil
 	}
 	var record T
-	if err := json.Unmarshal(value, &record); err != nil {
+	if err := protocol.Decode(value, &record); err != nil {
 		return fmt.Errorf("record %s: %w", key, err)
 	}
 	return set(record)
--- /dev/null
+++ b/internal/bookkeeping/decode_test.go
@@ -0,0 +1,63 @@
+package bookkeeping
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"testing"
+)
+
+// TestDecodedRecordsOutliveCollections reads pages while the garbage collector runs
+// all the time, and looks at what was read afterwards. A JSON package that uses package
+// unsafe once left pointers to freed memory behind: the runtime ended the process, or
+// a page would have said something else than its record.
+func TestDecodedRecordsOutliveCollections(t *testing.T) {
+	defer debug.SetGCPercent(debug.SetGCPercent(1))
+	const pages, jobs, tasks = 60, 12, 20
+	entry := func(page, job, task int) string {
+		return IntentEntry(task, fmt.Sprintf("m-%06d", page*1000+job), uint64(task+1))
+	}
+	stop := make(chan struct{})
+	var collecting sync.WaitGroup
+	collecting.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				runtime.GC()
+			}
+		}
+	})
+	c := NewCache([]Team{{Name: "red"}}, 1)
+	for round := range 4 {
+		for page := range pages {
+			rec := IntentPage{}
+			for job := range jobs {
+				id := fmt.Sprintf("run-%d", page*100+job)
+				for task := range tasks {
+					rec[id] = append(rec[id], entry(page, job, task))
+				}
+			}
+			if err := c.Apply(IntentKey(PageID{Page: page}), Encode(rec), uint64(round*pages+page+1)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	close(stop)
+	collecting.Wait()
+	for page := range pages {
+		for job := range jobs {
+			_, m := c.Machines.Find(fmt.Sprintf("m-%06d", page*1000+job))
+			if m == nil || len(m.Intents) != tasks {
+				t.Fatalf("page %d, job %d: %+v", page, job, m)
+			}
+			for ref, i := range m.Intents {
+				if i.Try != uint64(ref.Task+1) || c.Jobs.Get(ref.Job).ID != fmt.Sprintf("run-%d", page*100+job) {
+					t.Errorf("page %d, job %d: %+v is %+v", page, job, ref, i)
+				}
+			}
+		}
+	}
+}
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -7,7 +7,7 @@
 	"net/url"
 	"time"
 
-	"github.com/segmentio/encoding/json"
+	"encoding/json"
 )
 
 // Stages of a machine in the cloud's list.
@@ -92,7 +92,7 @@
 		return 0, nil, fmt.Errorf("%w: %s %s: %v", ErrUnknown, method, path, err)
 	}
 	if status == http.StatusOK && out != nil {
-		if err := json.Unmarshal(answer, out); err != nil {
+		if err := Decode(answer, out); err != nil {
 			return status, answer, fmt.Errorf("%w: %s %s: %v", ErrUnknown, method, path, err)
 		}
 	}
@@ -132,7 +132,7 @@
 		return out.Machines, nil
 	}
 	var p Problem
-	if status == http.StatusServiceUnavailable && json.Unmarshal(answer, &p) == nil && p.Error == "no capacity" {
+	if status == http.StatusServiceUnavailable && Decode(answer, &p) == nil && p.Error == "no capacity" {
 		return nil, ErrNoCapacity
 	}
 	return nil, refused("rent", status, answer)
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-
-	"github.com/segmentio/encoding/json"
 )
 
 // Task states in a worker's report.
@@ -62,7 +60,7 @@
 // ParseReport reads a report and refuses one that names no machine.
 func ParseReport(body []byte) (*Report, error) {
 	var r Report
-	if err := json.Unmarshal(body, &r); err != nil {
+	if err := Decode(body, &r); err != nil {
 		return nil, malformed("report: %v", err)
 	}
 	if r.Machine == "" || len(r.Machine) > maxName || strings.ContainsAny(r.Machine, " /\n") || r.Session == 0 {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
-	"github.com/segmentio/encoding/json"
+	"encoding/json"
 
 	"rockrun/internal/coordination"
 	"rockrun/internal/protocol"
