--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
-	"github.com/gofiber/fiber/v2"
 	"encoding/json"
+	"github.com/gofiber/fiber/v2"
 
 	"rockrun/internal/coordination"
 	"rockrun/internal/protocol"
