--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -205,11 +205,10 @@
 		if live > mostLive || taken > mostTaken {
 			t.Errorf("%d machines: %d bytes live for each (at most %d), %d allocated (at most %d)", machines, live, mostLive, taken, mostTaken)
 		}
-		if n := 0; true {
-			c.Machines.All(func(_ int, m *bookkeeping.Machine) { n += len(m.Intents) })
-			if n != machines {
-				t.Fatalf("%d intents were read", n)
-			}
+		intents := 0
+		c.Machines.All(func(_ int, m *bookkeeping.Machine) { intents += len(m.Intents) })
+		if intents != machines {
+			t.Fatalf("%d intents were read", intents)
 		}
 	}
 }
@@ -218,14 +217,11 @@
 func TestHeartbeatSize(t *testing.T) {
 	b := grownBench(t)
 	b.now += 2 * time.Second
-	size := func() int {
-		var link bytes.Buffer
-		if err := gob.NewEncoder(&link).Encode(b.n.hold.notes()); err != nil {
-			t.Fatal(err)
-		}
-		return link.Len()
+	var link bytes.Buffer
+	if err := gob.NewEncoder(&link).Encode(b.n.hold.notes()); err != nil {
+		t.Fatal(err)
 	}
-	if n := size() / grownMachines; n > 32 {
+	if n := link.Len() / grownMachines; n > 32 {
 		t.Errorf("%d bytes for each machine", n)
 	}
 }
