Limits of the state service come from one place, with those announced in state.next

Cause: the state service will lower its limits without notice; values written under today's would then be refused, and pages and blocks that lie there could never be written again. What the new version writes fits the lower limits from its first write. Pages over them are emptied onto others and blocks are split in the write that changes them; what is rejected for good is not sent again.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -51,6 +51,13 @@
 		{`txn_ops = 32`, `txn_ops = 1`, "cluster.state.txn_ops"},
 		{`name = "red"`, `name = ""`, "cluster.teams[0].name"},
 		{`write_rps = 80.0`, `write_rps = -1.0`, "cluster.state.write_rps"},
+		{`[cluster.cloud]`, "[cluster.state.next]\nvalue_kb = 0.0\n[cluster.cloud]", "cluster.state.next.value_kb"},
+		{`[cluster.cloud]`, "[cluster.state.next]\nvalue_kb = inf\n[cluster.cloud]", "cluster.state.next.value_kb"},
+		{`[cluster.cloud]`, "[cluster.state.next]\nvalue_kb = \"two\"\n[cluster.cloud]", "cluster.state.next.value_kb"},
+		{`[cluster.cloud]`, "[cluster.state.next]\nwrite_rps = nan\n[cluster.cloud]", "cluster.state.next.write_rps"},
+		{`[cluster.cloud]`, "[cluster.state.next]\nrps = -3\n[cluster.cloud]", "cluster.state.next.rps"},
+		{`[cluster.cloud]`, "[cluster.state.next]\ntxn_ops = 2\n[cluster.cloud]", "cluster.state.next.txn_ops"},
+		{`[cluster.cloud]`, "[cluster.state.next]\ntxn_ops = 9.5\n[cluster.cloud]", "cluster.state.next.txn_ops"},
 	} {
 		_, err := ParseSettings([]byte(strings.Replace(good, c.from, c.to, 1)))
 		if err == nil || !strings.Contains(err.Error(), c.field) {
@@ -59,6 +66,29 @@
 	}
 }
 
+// The lower ones of today's limits and those to come are in force from the start;
+// what is not announced stays.
+func TestStateLimits(t *testing.T) {
+	today := State{RPS: 200, WriteRPS: 80, ValueKB: 8, TxnOps: 32}
+	value, txn, more := 2.0, 10, 500.0
+	for _, c := range []struct {
+		name string
+		next *Next
+		want StateLimits
+	}{
+		{"none", nil, StateLimits{200, 80, 8192, 32, 128}},
+		{"empty", &Next{}, StateLimits{200, 80, 8192, 32, 128}},
+		{"lower", &Next{ValueKB: &value, TxnOps: &txn}, StateLimits{200, 80, 2048, 10, 40}},
+		{"higher", &Next{RPS: &more, WriteRPS: &more}, StateLimits{200, 80, 8192, 32, 128}},
+	} {
+		state := today
+		state.Next = c.next
+		if got := state.Limits(); got != c.want {
+			t.Errorf("%s: %+v, not %+v", c.name, got, c.want)
+		}
+	}
+}
+
 func TestOptions(t *testing.T) {
 	o, err := ParseOptions("o.hcl", []byte("cycle_s = 2\nfleet_max = 12\n"))
 	if err != nil || o.CycleS != 2 || o.FleetMax != 12 || o.RentWindowS != DefaultOptions().RentWindowS {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -75,14 +76,6 @@
 	CancelS float64 `toml:"cancel_s"`
 }
 
-// State is what the state service allows all controllers together.
-type State struct {
-	RPS      float64 `toml:"rps"`
-	WriteRPS float64 `toml:"write_rps"`
-	ValueKB  float64 `toml:"value_kb"`
-	TxnOps   int     `toml:"txn_ops"`
-}
-
 // Cloud is what the cloud allows.
 type Cloud struct {
 	RPS      float64 `toml:"rps"`
@@ -124,11 +117,22 @@
 func ParseSettings(data []byte) (*Settings, error) {
 	var s Settings
 	if err := toml.Unmarshal(data, &s); err != nil {
-		return nil, err
+		return nil, nameField(err)
 	}
 	return &s, s.check()
 }
 
+// nameField puts the field and the line before a decoder's error, which names the
+// type it could not decode into.
+func nameField(err error) error {
+	var decode *toml.DecodeError
+	if !errors.As(err, &decode) {
+		return err
+	}
+	line, _ := decode.Position()
+	return fmt.Errorf("line %d: %s: %w", line, strings.Join(decode.Key(), "."), err)
+}
+
 func (s *Settings) check() error {
 	var faults []error
 	fault := func(field, what string) { faults = append(faults, fmt.Errorf("%s: %s", field, what)) }
@@ -185,12 +189,7 @@
 	if w.CancelS > 0 && w.CancelS <= w.LeaseS {
 		fault("cluster.workers.cancel_s", "must exceed lease_s")
 	}
-	positive("cluster.state.rps", s.Cluster.State.RPS)
-	positive("cluster.state.write_rps", s.Cluster.State.WriteRPS)
-	positive("cluster.state.value_kb", s.Cluster.State.ValueKB)
-	if s.Cluster.State.TxnOps < 3 {
-		fault("cluster.state.txn_ops", "missing or below 3")
-	}
+	faults = append(faults, s.Cluster.State.check()...)
 	positive("cluster.cloud.rps", s.Cluster.Cloud.RPS)
 	if s.Cluster.Limits.MemoryMB < 0 || s.Cluster.Limits.Sockets < 0 {
 		fault("cluster.limits", "below 0")
--- a/internal/coordination/blocks.go
+++ b/internal/coordination/blocks.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"rockrun/internal/bookkeeping"
@@ -38,17 +37,13 @@
 	to    int
 }
 
-// blockSize is how many machines with such names a block holds, so that its value
-// stays within bounds whatever becomes of them: an entry with an address and the
-// longest phase takes up to 70 bytes beside the name.
-func (f *fleet) blockSize(name string) int {
-	return max(1, (int(f.l.n.Settings.Cluster.State.ValueKB*1024)-250)/(70+len(name)))
-}
+// blockSize is how many machines with such names a new block takes.
+func (f *fleet) blockSize(name string) int { return blockLimit(f.l.n.limits.ValueBytes, name) }
 
 // block makes a block of machines to be recorded.
 func (f *fleet) block(rec bookkeeping.BlockRecord) {
 	rec.Token = f.l.token()
-	f.fresh = append(f.fresh, &newBlock{id: strconv.FormatUint(rec.Token>>counterShift, 36), rec: rec})
+	f.fresh = append(f.fresh, &newBlock{id: blockID(rec.Token), rec: rec})
 	for _, e := range rec.Machines {
 		f.coming[e.Name] = true
 	}
@@ -93,7 +88,7 @@
 		}
 		b.writing = true
 		key := bookkeeping.BlockKey(b.id)
-		n.State.Txn(protocol.Txn{
+		n.txn(protocol.Txn{
 			If:   []protocol.Cond{f.l.cond(), {Key: key}},
 			Then: []protocol.Op{{Put: key, Value: bookkeeping.Encode(b.rec)}},
 		}, func(_ uint64, err error) {
@@ -127,7 +122,6 @@
 // transaction. What can't be written now is worked out again in the next tick.
 func (f *fleet) flush(now time.Duration) {
 	n := f.l.n
-	most := min(n.Settings.Cluster.State.TxnOps, 8)
 	var ids []string
 	for _, id := range slices.Sorted(maps.Keys(f.changes)) {
 		if !f.writing[id] && n.revision >= f.waitTo[id] && n.cache.Blocks[id] != nil {
@@ -143,29 +137,22 @@
 		}
 	}
 	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(urgency[b], urgency[a]) })
-	for len(ids) > 0 {
-		batch := ids[:min(most, len(ids))]
-		ids = ids[len(batch):]
-		for len(batch) > 0 && !n.budget.take(now, len(batch)) {
-			batch = batch[:len(batch)/2]
+	batch := f.newBlockBatch()
+	for _, id := range ids {
+		w, ok := f.writeBlock(id, f.changed(n.cache.Blocks[id], f.changes[id]))
+		if !ok {
+			continue
 		}
-		if len(batch) == 0 {
-			return
+		if !n.budget.take(now, len(w.ops)) {
+			break
 		}
-		t := protocol.Txn{If: []protocol.Cond{f.l.cond()}}
-		grants := map[int]bool{}
-		for _, id := range batch {
-			b := n.cache.Blocks[id]
-			rec := f.changed(b, f.changes[id])
-			t.If = append(t.If, protocol.Cond{Key: bookkeeping.BlockKey(id), Version: b.Version})
-			t.Then = append(t.Then, f.l.blockOp(id, rec))
-			if slices.ContainsFunc(f.changes[id], func(c change) bool { return c.empty }) && !grants[b.Shard] {
-				grants[b.Shard] = true
-				t.If = append(t.If, f.grantCond(b.Shard))
-			}
+		if !batch.takes(w) {
+			batch.send()
+			batch = f.newBlockBatch()
 		}
-		f.txn(batch, t)
+		batch.add(id, w)
 	}
+	batch.send()
 }
 
 // urgency is how much depends on a change being written soon: replicas that can't
@@ -206,7 +193,7 @@
 	for _, id := range blocks {
 		f.writing[id] = true
 	}
-	n.State.Txn(t, func(revision uint64, err error) {
+	n.txn(t, func(revision uint64, err error) {
 		for _, id := range blocks {
 			delete(f.writing, id)
 			if err == nil {
@@ -219,6 +206,19 @@
 	})
 }
 
+// logChanges says what becomes of the machines of a block.
+func (f *fleet) logChanges(b *bookkeeping.Block, changes []change) {
+	for _, e := range b.Machines {
+		i := slices.IndexFunc(changes, func(c change) bool { return c.m.Name == e.Name })
+		if i < 0 {
+			continue
+		}
+		if c := &changes[i]; c.phase != "" {
+			f.l.n.Log.Info("machine", "name", e.Name, "type", b.Type, "zone", b.Zone, "spot", b.Spot, "phase", c.phase, "why", c.why, "term", f.l.term)
+		}
+	}
+}
+
 // changed is a block with changes carried out.
 func (f *fleet) changed(b *bookkeeping.Block, changes []change) bookkeeping.BlockRecord {
 	n := f.l.n
@@ -238,7 +238,6 @@
 			e.Addr = c.addr
 		}
 		if c.phase != "" {
-			n.Log.Info("machine", "name", e.Name, "type", b.Type, "zone", b.Zone, "spot", b.Spot, "phase", c.phase, "why", c.why, "term", f.l.term)
 			e.Phase, e.Drain, e.Yield = c.phase, c.stamp, c.yield
 			if c.phase == bookkeeping.PhaseDrain && c.stamp == 0 {
 				e.Drain = f.l.token()
@@ -270,16 +269,27 @@
 		}
 		to := bookkeeping.BlockRecord{Type: b.Type, Zone: b.Zone, Spot: b.Spot, Shard: k.to, Token: f.l.token(), AtMS: b.AtMS}
 		changes := f.changes[k.block]
-		for _, m := range f.moves[k] {
+		moves := f.moves[k]
+		for _, m := range moves[:min(len(moves), f.blockSize(moves[0].Name))] { // the others with the next tick
 			to.Machines = append(to.Machines, bookkeeping.BlockMachine{Name: m.Name, Addr: m.Addr})
 			changes = append(changes, change{m: m, forget: true})
 		}
-		from := f.changed(b, changes)
+		from, ok := f.writeBlock(k.block, f.changed(b, changes))
 		delete(f.changes, k.block)
-		key := bookkeeping.BlockKey(strconv.FormatUint(to.Token>>counterShift, 36))
+		if !ok {
+			continue
+		}
+		if len(from.ops) >= n.limits.Changes { // so large that it must be split before anything leaves it
+			if from, ok = f.writeBlock(k.block, b.BlockRecord); ok {
+				f.txn([]string{k.block}, protocol.Txn{If: append(from.conds, f.l.cond()), Then: from.ops})
+			}
+			continue
+		}
+		f.logChanges(b, changes)
+		key := bookkeeping.BlockKey(blockID(to.Token))
 		t := protocol.Txn{
-			If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.BlockKey(k.block), Version: b.Version}, {Key: key}, f.grantCond(b.Shard)},
-			Then: []protocol.Op{{Put: key, Value: bookkeeping.Encode(to)}, f.l.blockOp(k.block, from)},
+			If:   append([]protocol.Cond{f.l.cond(), {Key: key}, f.grantCond(b.Shard)}, from.conds...),
+			Then: append([]protocol.Op{{Put: key, Value: bookkeeping.Encode(to)}}, from.ops...),
 		}
 		n.Log.Info("machines move", "count", len(to.Machines), "from", b.Shard, "to", k.to, "term", f.l.term)
 		f.txn([]string{k.block}, t)
--- a/internal/coordination/budget.go
+++ b/internal/coordination/budget.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// setWriteBudget works out this process's part of the writes that all controllers setWriteBudget,
+// setWriteBudget works out this process's part of the writes that all controllers share,
 // by what it does: the home of the work that ends writes most, the leader and
 // the homes of services less, and what is left is for users' requests, which
 // never wait for a budget.
@@ -22,7 +22,7 @@
 			part += 0.1 / float64(n.cache.Homes-1)
 		}
 	}
-	n.budget.rate = max(1, part*n.Settings.Cluster.State.WriteRPS)
+	n.budget.rate = max(1, part*n.limits.WriteRate)
 }
 
 // bucket is this process's part of the writes all controllers share.
--- a/internal/coordination/completion.go
+++ b/internal/coordination/completion.go
@@ -61,7 +61,7 @@
 		n.budget.force(now, 2)
 		p.writing = true
 		h.finishing++
-		n.State.Txn(protocol.Txn{
+		n.txn(protocol.Txn{
 			If: []protocol.Cond{
 				{Key: bookkeeping.JobKey(j.ID), Version: j.Version},
 				{Key: bookkeeping.GrantKey(j.Home), Version: n.cache.Grants[j.Home].Version},
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -93,7 +93,7 @@
 		n.candidateLeases[lease] = true
 		term := n.cache.Term + 1
 		rec := bookkeeping.LeaderRecord{Node: n.Settings.Node, Incarnation: n.incarnation, Term: term, Lease: lease}
-		n.State.Txn(protocol.Txn{
+		n.txn(protocol.Txn{
 			If: []protocol.Cond{{Key: bookkeeping.KeyLeader, Version: n.cache.LeaderVer}, {Key: bookkeeping.KeyTerm, Version: n.cache.TermVer}},
 			Then: []protocol.Op{
 				{Put: bookkeeping.KeyLeader, Value: bookkeeping.Encode(rec), Lease: lease},
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -134,7 +134,7 @@
 	}
 	f.typesWrite = true
 	n.budget.force(now, 1)
-	n.State.Txn(protocol.Txn{
+	n.txn(protocol.Txn{
 		If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.KeyTypes, Version: n.cache.TypesVer}},
 		Then: []protocol.Op{{Put: bookkeeping.KeyTypes, Value: bookkeeping.Encode(f.catalogue)}},
 	}, func(uint64, error) {
@@ -322,7 +322,7 @@
 		return
 	}
 	f.targeting = true
-	n.State.Txn(protocol.Txn{
+	n.txn(protocol.Txn{
 		If:   []protocol.Cond{f.l.cond(), {Key: bookkeeping.KeyTarget, Version: n.cache.TargetVer}},
 		Then: []protocol.Op{{Put: bookkeeping.KeyTarget, Value: bookkeeping.Encode(rec)}},
 	}, func(uint64, error) {
--- a/internal/coordination/grant.go
+++ b/internal/coordination/grant.go
@@ -239,7 +239,7 @@
 	n.Log.Info("grant", "shard", shard, "to", node, "token", rec.Token, "term", l.term)
 	l.granting[shard] = true
 	n.budget.force(n.now(), 1)
-	n.State.Txn(protocol.Txn{
+	n.txn(protocol.Txn{
 		If:   []protocol.Cond{l.cond(), {Key: bookkeeping.GrantKey(shard), Version: g.Version}},
 		Then: []protocol.Op{{Put: bookkeeping.GrantKey(shard), Value: bookkeeping.Encode(rec)}},
 	}, func(_ uint64, err error) {
@@ -266,7 +266,7 @@
 	}
 	rec := bookkeeping.HomesRecord{Homes: max(1, min(homes, n.shards))}
 	l.homing = true
-	n.State.Txn(protocol.Txn{
+	n.txn(protocol.Txn{
 		If:   []protocol.Cond{l.cond(), {Key: bookkeeping.KeyHomes, Version: n.cache.HomesVer}},
 		Then: []protocol.Op{{Put: bookkeeping.KeyHomes, Value: bookkeeping.Encode(rec)}},
 	}, func(uint64, error) {
--- a/internal/coordination/heartbeats.go
+++ b/internal/coordination/heartbeats.go
@@ -104,7 +104,7 @@
 	}
 	var homes []int
 	for s := range n.cache.Homes {
-		if n.holds(s) && len(t.If) < 4*n.Settings.Cluster.State.TxnOps { // conditions allowed in a transaction
+		if n.holds(s) && len(t.If) < n.limits.Conditions {
 			homes = append(homes, s)
 			t.If = append(t.If, protocol.Cond{Key: bookkeeping.GrantKey(s), Version: n.cache.Grants[s].Version})
 		}
@@ -115,7 +115,7 @@
 	n.livenessAt = now + every
 	n.budget.force(now, 1)
 	era := n.era
-	n.State.Txn(t, func(_ uint64, err error) {
+	n.txn(t, func(_ uint64, err error) {
 		if era != n.era {
 			return
 		}
--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -21,6 +21,7 @@
 	txns   []protocol.Txn
 	sent   []protocol.CommandRequest
 	rev    uint64
+	values map[string][]byte // what the state service holds
 }
 
 func (b *bench) Now() time.Duration                              { return b.now }
@@ -56,7 +57,7 @@
 // newBench makes a node that holds one machine under a fresh grant; the record
 // of an earlier holder says that run-1/0 may be on it.
 func newBench(t testing.TB, intents ...string) *bench {
-	b := &bench{t: t, now: time.Minute}
+	b := &bench{t: t, now: time.Minute, values: map[string][]byte{}}
 	b.n = New(Config{
 		Settings: &config.Settings{Node: "a", Cluster: config.Cluster{
 			Teams:   []config.Team{{Name: "red", CPUsMax: 8}},
@@ -84,10 +85,46 @@
 func (b *bench) apply(key string, record any) {
 	b.t.Helper()
 	b.rev++
-	if err := b.n.cache.Apply(key, bookkeeping.Encode(record), b.rev); err != nil {
+	b.put(key, bookkeeping.Encode(record))
+	b.n.revision = b.rev
+}
+
+func (b *bench) put(key string, value []byte) {
+	b.t.Helper()
+	b.values[key] = value
+	if err := b.n.cache.Apply(key, value, b.rev); err != nil {
 		b.t.Fatal(err)
 	}
-	b.n.revision = b.rev
+}
+
+// carryOut carries out the transactions that were sent, in their order. They are not
+// answered: the cache shows what came of them.
+func (b *bench) carryOut() {
+	b.t.Helper()
+	txns := b.txns
+	b.txns = nil
+	for _, t := range txns {
+		b.withinLimits(t)
+		b.rev++
+		for _, op := range t.Then {
+			if op.Put != "" {
+				b.put(op.Put, op.Value)
+				continue
+			}
+			delete(b.values, op.Delete)
+			b.n.cache.Remove(op.Delete, b.rev)
+		}
+		b.n.revision = b.rev
+	}
+}
+
+// withinLimits fails where a transaction is over the limits in force.
+func (b *bench) withinLimits(t protocol.Txn) {
+	b.t.Helper()
+	l := b.n.limits
+	if largest := largestValue(t); largest > l.ValueBytes || len(t.Then) > l.Changes || len(t.If) > l.Conditions {
+		b.t.Errorf("over the limits %+v: largest value %d, %d changes, %d conditions", l, largest, len(t.Then), len(t.If))
+	}
 }
 
 // fresh renews what the node knows and holds.
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -96,6 +96,7 @@
 	freshAt     time.Duration // the cache held everything that was durable at this time
 	finals      map[string]bookkeeping.FinalRecord
 	budget      bucket
+	limits      config.StateLimits // that writes keep to
 
 	readPause time.Duration // between two reads of the changes; twice that between two that questions ask for
 
@@ -142,8 +143,9 @@
 	n.authority = c.Settings.Cluster.Workers.Authority()
 	n.finals = map[string]bookkeeping.FinalRecord{}
 	// All controllers together read with a quarter of the requests allowed.
-	n.readPause = max(20*time.Millisecond, time.Duration(4*float64(len(n.nodes))/c.Settings.Cluster.State.RPS*float64(time.Second)))
-	n.budget = newBucket(c.Settings.Cluster.State.WriteRPS / 4)
+	n.limits = c.Settings.Cluster.State.Limits()
+	n.readPause = max(20*time.Millisecond, time.Duration(4*float64(len(n.nodes))/n.limits.RequestRate*float64(time.Second)))
+	n.budget = newBucket(n.limits.WriteRate / 4)
 	return n
 }
 
--- a/internal/coordination/record_batch.go
+++ b/internal/coordination/record_batch.go
@@ -41,12 +41,12 @@
 	n := d.h.n
 	b := &batch{}
 	b.txn.If = []protocol.Cond{{Key: bookkeeping.GrantKey(d.shard), Version: n.cache.Grants[d.shard].Version}}
-	most := min(n.Settings.Cluster.State.TxnOps, d.most, max(1, int(n.budget.level)))
+	most := min(n.limits.Changes, d.most, max(1, int(n.budget.level)))
 	for _, p := range d.done {
 		if p.dirtyAt == 0 && n.cache.StaleDone(p.id) {
 			p.dirtyAt = now
 		}
-		if len(b.txn.Then) >= most || !p.idle(n) || p.dirtyAt == 0 || now-p.dirtyAt <= doneAfter {
+		if len(b.txn.Then) >= most || !p.idle(n) || p.dirtyAt == 0 || now-p.dirtyAt <= doneAfter || !d.writableDone(p) {
 			continue
 		}
 		if op, any := d.completedTasks(p); any {
@@ -66,12 +66,9 @@
 // tasks first. Every drained machine makes a page due as well; written in turn, a few
 // dozen of those would keep new tasks waiting for seconds while machines stand idle.
 func (d *recordWriter) duePages(now time.Duration) []*intentPage {
-	n := d.h.n
-	spare := n.budget.level > n.budget.rate/2 // removals alone wait until others need no writes
 	var due []*intentPage
 	for _, p := range d.pages {
-		stale := p.dirtyAt > 0 && spare && now-p.dirtyAt > staleAfter
-		if p.idle(n) && (p.dirty || stale) && (len(p.attempts) > 0 || n.cache.IntentVersion(p.id) != 0) {
+		if d.due(p, now) && d.writable(p) {
 			due = append(due, p)
 		}
 	}
@@ -79,6 +76,14 @@
 	return due
 }
 
+// due reports whether a page of intents is to be written now.
+func (d *recordWriter) due(p *intentPage, now time.Duration) bool {
+	n := d.h.n
+	spare := n.budget.level > n.budget.rate/2 // removals alone wait until others need no writes
+	stale := p.dirtyAt > 0 && spare && now-p.dirtyAt > staleAfter
+	return p.idle(n) && (p.dirty || stale) && (len(p.attempts) > 0 || n.cache.IntentVersion(p.id) != 0)
+}
+
 // written takes in how a write ended.
 func (d *recordWriter) written(b *batch, revision uint64, err error) {
 	h, n := d.h, d.h.n
--- a/internal/coordination/record_writer.go
+++ b/internal/coordination/record_writer.go
@@ -66,12 +66,16 @@
 	// Attempts that no write has named yet, and those that the last one was the
 	// first to name.
 	fresh, freshSent int
+	// Attempts that the page in the records names and that have gone to others, which
+	// must name them before this one is written without them.
+	moved []*attempt
 }
 
 // donePage is a page of completed tasks.
 type donePage struct {
 	pageState
 	chunks map[doneChunk]bool
+	moved  []doneChunk // as of an intentPage
 }
 
 type doneChunk struct {
@@ -150,15 +154,20 @@
 	p.attempts[a] = true
 }
 
-func (p *intentPage) drop(a *attempt, now time.Duration) {
-	if !p.attempts[a] {
-		return
-	}
+// remove takes an attempt off the page.
+func (p *intentPage) remove(a *attempt) {
 	delete(p.attempts, a)
 	if p.jobs[a.job]--; p.jobs[a.job] == 0 {
 		delete(p.jobs, a.job)
 	}
 	p.bytes -= p.weight(a)
+}
+
+func (p *intentPage) drop(a *attempt, now time.Duration) {
+	if !p.attempts[a] {
+		return
+	}
+	p.remove(a)
 	if p.dirtyAt == 0 {
 		p.dirtyAt = now
 	}
@@ -183,13 +192,15 @@
 }
 
 // pageCapacity is how many bytes a page holds.
-func (d *recordWriter) pageCapacity() int {
-	return int(d.h.n.Settings.Cluster.State.ValueKB*1024) - 128
-}
+func (d *recordWriter) pageCapacity() int { return d.h.n.capacity() }
 
 // completed takes in that a task of a chunk is done.
 func (d *recordWriter) completed(p *progress, chunk int, now time.Duration) {
 	page := p.pages[chunk]
+	if page != nil && page.bytes > d.pageCapacity() && len(page.chunks) > 1 {
+		page.move(doneChunk{p, chunk}, now)
+		page = nil
+	}
 	if page == nil {
 		need := doneChunk{p, chunk}.size()
 		for k := 0; page == nil; k++ {
@@ -233,6 +244,7 @@
 	for _, p := range d.pages {
 		d.settle(p)
 	}
+	d.shrinkOversized(now)
 	d.assign()
 	n.budget.fill(now)
 	if n.budget.level < min(1, n.budget.rate) {
@@ -253,7 +265,7 @@
 	for _, s := range b.states() {
 		s.writing, s.dirty, s.dirtyAt = true, false, 0
 	}
-	n.State.Txn(b.txn, func(revision uint64, err error) { d.written(b, revision, err) })
+	n.txn(b.txn, func(revision uint64, err error) { d.written(b, revision, err) })
 }
 
 // assign puts new attempts on the emptiest pages that can be written now, so
@@ -266,7 +278,7 @@
 	}
 	var free []*intentPage
 	for _, p := range d.pages {
-		if p.idle(n) {
+		if p.idle(n) && d.writable(p) {
 			free = append(free, p)
 		}
 	}
@@ -301,7 +313,9 @@
 			free = append(free, d.intentPageAt(len(d.pages)))
 		}
 		free[0].put(a)
-		free[0].fresh++
+		if !a.durable() { // one that moves from another page waits for nothing
+			free[0].fresh++
+		}
 		free[0].dirty = true
 	}
 	d.unassigned = slices.DeleteFunc(d.unassigned, func(a *attempt) bool { return a.page != nil })
@@ -330,13 +344,9 @@
 func (d *recordWriter) completedTasks(p *donePage) (op protocol.Op, any bool) {
 	key := bookkeeping.DoneKey(p.id)
 	rec := bookkeeping.DonePage{}
+	d.forgetOver(p)
 	for c := range p.chunks {
 		j := c.p.job
-		if j.Over() || d.h.jobs[j] != c.p {
-			delete(p.chunks, c)
-			p.bytes -= c.size()
-			continue
-		}
 		part := c.p.done[min(len(c.p.done), c.chunk*bookkeeping.ChunkTasks/8):]
 		rec[bookkeeping.DoneName(j.ID, c.chunk)] = part[:min(len(part), bookkeeping.ChunkTasks/8)]
 	}
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -45,7 +45,7 @@
 	}
 	l.sharing = true
 	n.budget.force(n.now(), 1)
-	n.State.Txn(protocol.Txn{If: conds, Then: []protocol.Op{{Put: bookkeeping.KeyShares, Value: bookkeeping.Encode(rec)}}}, func(uint64, error) {
+	n.txn(protocol.Txn{If: conds, Then: []protocol.Op{{Put: bookkeeping.KeyShares, Value: bookkeeping.Encode(rec)}}}, func(uint64, error) {
 		l.sharing = false
 		l.shareAt = n.now() + time.Second
 	})
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -97,12 +97,12 @@
 		return
 	}
 	rec := bookkeeping.Encode(bookkeeping.JobRecord{Spec: *spec, AtMS: n.Clock.Wall().UnixMilli()})
-	if float64(len(rec)) > n.Settings.Cluster.State.ValueKB*1024-64 {
+	if len(rec) > n.capacity() {
 		reply(problem(http.StatusBadRequest, "malformed: description too long to be kept"))
 		return
 	}
 	n.budget.force(n.now(), 1)
-	n.State.Txn(protocol.Txn{
+	n.txn(protocol.Txn{
 		If:   []protocol.Cond{{Key: bookkeeping.JobKey(spec.ID)}, {Key: bookkeeping.FinalKey(spec.ID)}},
 		Then: []protocol.Op{{Put: bookkeeping.JobKey(spec.ID), Value: rec}},
 	}, func(_ uint64, err error) {
@@ -264,7 +264,7 @@
 		}
 		f := bookkeeping.FinalRecord{Stage: protocol.StageWithdrawn}
 		n.budget.force(n.now(), 2)
-		n.State.Txn(protocol.Txn{
+		n.txn(protocol.Txn{
 			If: []protocol.Cond{{Key: bookkeeping.JobKey(id), Version: it.Version}},
 			Then: []protocol.Op{
 				{Delete: bookkeeping.JobKey(id)},
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -62,6 +62,11 @@
 	ErrNotDone = errors.New("refused, not carried out")
 	// ErrUnknown: the call may have been carried out, or may yet be.
 	ErrUnknown = errors.New("no answer, outcome unknown")
+	// ErrRejected: the call can never be carried out as it is, since it is malformed or
+	// over a limit. Sending it again is of no use.
+	ErrRejected = errors.New("rejected for good")
+	// ErrTooMany: the call was not carried out, since there were too many.
+	ErrTooMany = fmt.Errorf("%w: too many requests", ErrNotDone)
 	// ErrNoCapacity: the cloud has no such machines now.
 	ErrNoCapacity = errors.New("no capacity")
 )
@@ -103,7 +108,14 @@
 	if len(answer) > 200 {
 		answer = answer[:200]
 	}
-	return fmt.Errorf("%w: %s: status %d: %s", ErrNotDone, what, status, answer)
+	kind := ErrNotDone
+	switch status {
+	case http.StatusBadRequest:
+		kind = ErrRejected
+	case http.StatusTooManyRequests:
+		kind = ErrTooMany
+	}
+	return fmt.Errorf("%w: %s: status %d: %s", kind, what, status, answer)
 }
 
 // Catalogue reads the machine types and their current prices.
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -69,7 +69,7 @@
 }
 
 // StateClient speaks to the state service. Every error wraps one of ErrNotDone,
-// ErrUnknown, ErrConflict, ErrNoLease or ErrTooOld.
+// ErrRejected, ErrUnknown, ErrConflict, ErrNoLease or ErrTooOld.
 type StateClient struct {
 	HTTP    Caller
 	Addr    string
--- a/internal/scenario/actions.go
+++ b/internal/scenario/actions.go
@@ -30,6 +30,8 @@
 	"cancel-at-end": actCancelAtEnd,
 	"odd":           actOdd,
 	"restart":       actRestart,
+	"upgrade":       actUpgrade,
+	"lower-limits":  actLowerLimits,
 	"keep-copies":   actKeepCopies,
 	"late-commands": actLateCommands,
 	"close-looks":   actCloseLooks,
--- a/internal/scenario/actions_nodes.go
+++ b/internal/scenario/actions_nodes.go
@@ -95,3 +95,20 @@
 }
 
 func (h *host) isCut() bool { return h.noState || h.noPeers || h.noWorkers }
+
+// actUpgrade ends a controller's process; the next one is of the new version, which
+// knows the limits to come.
+func actUpgrade(s *sim, line *statement) func() {
+	h := s.host(line, line.arg(0))
+	down := line.duration(line.text("down", "3s"))
+	return func() {
+		s.noteFault("upgrade", down)
+		h.crash()
+		h.unaware = false
+		s.after(down, func() {
+			if h.p == nil {
+				h.start()
+			}
+		})
+	}
+}
--- a/internal/scenario/actions_services.go
+++ b/internal/scenario/actions_services.go
@@ -1,5 +1,7 @@
 package scenario
 
+import "time"
+
 // Actions on the state service and the cloud.
 
 func actOutage(s *sim, line *statement) func() {
@@ -45,3 +47,10 @@
 	n := int(line.num("n", 1))
 	return func() { s.cloud.noBoot = n }
 }
+
+func actLowerLimits(s *sim, _ *statement) func() {
+	return func() {
+		s.noteFault("lower-limits", time.Second)
+		s.store.lower()
+	}
+}
--- a/internal/scenario/sim.go
+++ b/internal/scenario/sim.go
@@ -119,6 +119,7 @@
 	name      string
 	zone      string // "": none in particular
 	p         *process
+	unaware   bool          // processes started here don't know the limits to come
 	noState   bool          // the state service refuses it
 	noPeers   bool          // it can't reach other controllers, nor they it
 	noWorkers bool          // it can't reach workers, nor they it
@@ -137,6 +138,9 @@
 	s.faultEnds("down", h.name)
 	p := &process{h: h}
 	set := &config.Settings{Node: h.name, Cluster: s.cluster}
+	if h.unaware {
+		set.Cluster.State.Next = nil
+	}
 	for _, o := range s.nodes {
 		if o != h {
 			set.Siblings = append(set.Siblings, config.Sibling{Node: o.name})
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -9,28 +9,32 @@
 	"time"
 
 	"rockrun/internal/bookkeeping"
+	"rockrun/internal/config"
 	"rockrun/internal/protocol"
 )
 
 // store is the stand-in for the state service.
 type store struct {
-	s        *sim
-	revision uint64
-	items    map[string]*protocol.Item
-	leases   map[uint64]*lease
-	nextID   uint64
-	history  []change
-	watches  []*watch
-	outage   bool
-	writes   int     // puts and removals carried out or refused by a condition
-	grants   int     // grants that were carried out
-	requests int     // all calls
-	tokens   float64 // writes that may be made now
-	tokensAt time.Duration
-	lose     float64 // share of transactions whose answer is lost
-	late     float64 // share of those that are applied late
-	slow     float64 // share of calls that take long
-	slowMost time.Duration
+	s         *sim
+	limits    config.StateLimits
+	rejected  int // transactions that were rejected for good
+	inherited int // values over the limits to come when these came into force
+	revision  uint64
+	items     map[string]*protocol.Item
+	leases    map[uint64]*lease
+	nextID    uint64
+	history   []change
+	watches   []*watch
+	outage    bool
+	writes    int     // puts and removals carried out or refused by a condition
+	grants    int     // grants that were carried out
+	requests  int     // all calls
+	tokens    float64 // writes that may be made now
+	tokensAt  time.Duration
+	lose      float64 // share of transactions whose answer is lost
+	late      float64 // share of those that are applied late
+	slow      float64 // share of calls that take long
+	slowMost  time.Duration
 }
 
 type lease struct {
@@ -51,7 +55,10 @@
 }
 
 func newStore(s *sim) *store {
-	return &store{s: s, items: map[string]*protocol.Item{}, leases: map[uint64]*lease{}, tokens: s.cluster.State.WriteRPS}
+	today := s.cluster.State
+	today.Next = nil
+	limits := today.Limits()
+	return &store{s: s, limits: limits, items: map[string]*protocol.Item{}, leases: map[uint64]*lease{}, tokens: limits.WriteRate}
 }
 
 // down reports whether a host is refused.
@@ -106,24 +113,16 @@
 
 // txn carries out a transaction.
 func (st *store) txn(t protocol.Txn) (uint64, error) {
-	if len(t.Then) > st.s.cluster.State.TxnOps {
-		return 0, protocol.ErrNotDone
+	if err := st.reject(t); err != nil {
+		return 0, err
 	}
-	st.tokens = min(st.s.cluster.State.WriteRPS, st.tokens+st.s.cluster.State.WriteRPS*(st.s.now-st.tokensAt).Seconds())
+	st.tokens = min(st.limits.WriteRate, st.tokens+st.limits.WriteRate*(st.s.now-st.tokensAt).Seconds())
 	st.tokensAt = st.s.now
 	if st.tokens < float64(len(t.Then)) {
-		return 0, protocol.ErrNotDone
+		return 0, protocol.ErrTooMany
 	}
 	st.tokens -= float64(len(t.Then))
 	st.writes += len(t.Then)
-	for _, op := range t.Then {
-		if float64(len(op.Value)) > st.s.cluster.State.ValueKB*1024 {
-			return 0, protocol.ErrNotDone
-		}
-	}
-	if len(t.If) > 4*st.s.cluster.State.TxnOps {
-		return 0, protocol.ErrNotDone
-	}
 	for _, c := range t.If {
 		var have uint64
 		if it := st.items[c.Key]; it != nil {
@@ -137,9 +136,6 @@
 		if op.Lease != 0 && st.leases[op.Lease] == nil {
 			return 0, protocol.ErrNoLease
 		}
-		if float64(len(op.Value)) > st.s.cluster.State.ValueKB*1024 {
-			return 0, protocol.ErrNotDone
-		}
 	}
 	st.revision++
 	for _, op := range t.Then {
@@ -164,6 +160,34 @@
 	return st.revision, nil
 }
 
+// reject says whether a transaction is over a limit, whatever its conditions.
+func (st *store) reject(t protocol.Txn) error {
+	large := slices.ContainsFunc(t.Then, func(op protocol.Op) bool { return len(op.Value) > st.limits.ValueBytes })
+	if large || len(t.Then) > st.limits.Changes || len(t.If) > st.limits.Conditions {
+		st.rejected++
+		return protocol.ErrRejected
+	}
+	return nil
+}
+
+// lower makes the limits those to come.
+func (st *store) lower() {
+	st.limits = st.s.cluster.State.Limits()
+	st.tokens = min(st.tokens, st.limits.WriteRate)
+	st.inherited = st.oversized()
+}
+
+// oversized counts the values that lie here and could not be written any more.
+func (st *store) oversized() int {
+	count := 0
+	for _, it := range st.items {
+		if len(it.Value) > st.limits.ValueBytes {
+			count++
+		}
+	}
+	return count
+}
+
 // wake answers the watches that have something to tell.
 func (st *store) wake() {
 	if st.outage {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -18,6 +18,7 @@
 	types    []protocol.MachineType
 	capacity map[poolName]int
 	zones    map[string]string // of controllers
+	unaware  bool              // controllers don't know the limits to come
 }
 
 // declarations are the verbs of a world.
@@ -25,6 +26,7 @@
 	"nodes":   declareNodes,
 	"workers": declareWorkers,
 	"state":   declareState,
+	"next":    declareNextState,
 	"team":    declareTeam,
 	"type":    declareType,
 	"room":    declareRoom,
@@ -52,6 +54,15 @@
 	w.cluster.State = config.State{RPS: 200, WriteRPS: line.num("writes", 80), ValueKB: line.num("value", 8), TxnOps: int(line.num("ops", 32))}
 }
 
+// declareNextState says what the state service will allow later. With unaware=1 the
+// controllers' first processes have not been told, like those of a version that does
+// not know the setting.
+func declareNextState(w *world, line *statement) {
+	writes, value, ops := line.num("writes", 80), line.num("value", 8), int(line.num("ops", 32))
+	w.cluster.State.Next = &config.Next{WriteRPS: &writes, ValueKB: &value, TxnOps: &ops}
+	w.unaware = line.num("unaware", 0) == 1
+}
+
 func declareTeam(w *world, line *statement) {
 	w.cluster.Teams = append(w.cluster.Teams, config.Team{Name: line.arg(0), CPUs: line.num("cpus", 0), CPUsMax: line.num("max", 0)})
 }
@@ -98,7 +109,7 @@
 	s.cloud.capacity, s.cloud.types = w.capacity, w.types
 	for i := range w.nodes {
 		name := string(rune('a' + i))
-		s.nodes = append(s.nodes, &host{s: s, name: name, zone: w.zones[name]})
+		s.nodes = append(s.nodes, &host{s: s, name: name, zone: w.zones[name], unaware: w.unaware})
 	}
 	for _, h := range s.nodes {
 		h.start()
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -94,6 +94,10 @@
 		return "done"
 	case errors.Is(err, protocol.ErrConflict):
 		return "conflict"
+	case errors.Is(err, protocol.ErrRejected):
+		return "rejected"
+	case errors.Is(err, protocol.ErrTooMany):
+		return "too_many"
 	case errors.Is(err, protocol.ErrNotDone):
 		return "refused"
 	}
