Jobs can wait for others: waitsOn in a submission

Whether a job is released or cancelled with another follows from its own record and the final records of the jobs that it needs (bookkeeping/dependencies.go); nothing else is stored of it. Users, holders and the sizer ask that one module. Final records say when a job ended.

--- a/cmd/rockrun/main.go
+++ b/cmd/rockrun/main.go
@@ -122,7 +122,7 @@
 		Workers: transport.WorkerCalls{Backend: back}, Peers: transport.NewPeerCalls(loop, addrs),
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	metrics.Passes(node.Passes)
+	metrics.Node(node.Stats)
 	server := transport.NewServer(loop, node, limiter, metrics, sockets.Public)
 
 	go loop.Run()
--- a/internal/bookkeeping/cache.go
+++ b/internal/bookkeeping/cache.go
@@ -62,6 +62,9 @@
 	intents map[PageID]*pageOf[intent]
 	done    map[PageID]*pageOf[*Job]
 
+	unread             map[*Job]bool // needed jobs that are over and whose final records were not read
+	dependentCancelled map[*Job]bool // unfinished jobs that are cancelled with another
+
 	Liveness  map[string]Liveness // by controller
 	Leader    LeaderRecord
 	LeaderVer uint64
@@ -76,6 +79,7 @@
 	b := &Cache{
 		Teams: teams, Grants: make([]Grant, shards), Blocks: map[string]*Block{}, Liveness: map[string]Liveness{},
 		intents: map[PageID]*pageOf[intent]{}, done: map[PageID]*pageOf[*Job]{},
+		unread: map[*Job]bool{}, dependentCancelled: map[*Job]bool{},
 	}
 	for i, t := range teams {
 		b.TeamNames.ID(t.Name)
@@ -254,6 +258,8 @@
 		if _, j := b.Jobs.Find(key[len(prefixJob):]); j != nil && version > j.Version && j.Version != 0 {
 			j.Version = 0
 			b.JobsOver++
+			b.unlink(j)
+			b.noteUnread(j)
 			b.DropJob(j)
 		}
 	}
--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -9,6 +9,7 @@
 // Job is an unfinished job, or one that is over while something still names it.
 type Job struct {
 	protocol.Spec
+	dependencies
 	Index    int
 	Version  uint64 // of the record; 0 once the job is over
 	AtMS     int64
@@ -32,14 +33,18 @@
 // Over reports whether the job is done or cancelled.
 func (j *Job) Over() bool { return j.Version == 0 }
 
-// Wanted reports whether the job's tasks may run.
-func (j *Job) Wanted() bool { return !j.Over() && !j.Cancelled }
+// Wanted reports whether the job's tasks may run, once all that it needs is done.
+func (j *Job) Wanted() bool { return !j.Over() && !j.cancelled() }
 
-// MarkCancelled takes in that a job's cancellation is durable, ahead of the changes.
-func (b *Cache) MarkCancelled(id string) {
-	if _, j := b.Jobs.Find(id); j != nil {
-		j.Cancelled = true
+// MarkCancelled takes in that a job's cancellation is durable, ahead of the changes. It
+// returns the jobs that are cancelled with it.
+func (b *Cache) MarkCancelled(id string) []*Job {
+	_, j := b.Jobs.Find(id)
+	if j == nil {
+		return nil
 	}
+	j.Cancelled = true
+	return b.cancelDependants(j)
 }
 
 // Open returns how many tasks are neither done nor named by an intent.
@@ -102,6 +107,7 @@
 	}
 	j.Home = b.homeOf(j)
 	b.JobsSeen++
+	b.link(j, r.Spec.Needs)
 }
 
 // homeOf is the home of a job. Work that ends shares one home, where machines
@@ -121,7 +127,7 @@
 
 // DropJob forgets a job that is over once nothing names it any more.
 func (b *Cache) DropJob(j *Job) {
-	if j.Over() && len(j.Intended) == 0 && j.Refs == 0 {
+	if j.Over() && len(j.Intended) == 0 && j.Refs == 0 && !j.Needed() {
 		b.Jobs.Drop(j.ID)
 	}
 }
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -210,6 +210,14 @@
 type FinalRecord struct {
 	Stage string `json:"stage"`
 	Done  int    `json:"done"`
+	AtMS  int64  `json:"at,omitempty"` // time of day of the end; versions before 0.2 leave it out
+}
+
+func (f FinalRecord) outcome() Outcome {
+	if f.Stage == protocol.StageDone {
+		return OutcomeDone
+	}
+	return OutcomeCancelled
 }
 
 // Encode turns a record into a value. Records hold nothing that can't be
--- a/internal/coordination/budget.go
+++ b/internal/coordination/budget.go
@@ -49,6 +49,11 @@
 	return true
 }
 
+// until is how long it takes until there are n writes.
+func (b *bucket) until(n int) time.Duration {
+	return time.Duration(max(0, min(float64(n), b.rate)-b.level)/b.rate*float64(time.Second)) + time.Millisecond
+}
+
 // force takes n writes for what can't wait.
 func (b *bucket) force(now time.Duration, n int) {
 	b.fill(now)
--- a/internal/coordination/cancellations.go
+++ b/internal/coordination/cancellations.go
@@ -62,7 +62,7 @@
 // applyCancellations stops what is here of jobs whose cancellation is durable.
 func (n *Node) applyCancellations(ids []string) {
 	for _, id := range ids {
-		n.cache.MarkCancelled(id)
+		n.noteCancelledWith(n.cache.MarkCancelled(id))
 	}
 	n.hold.stopUnwanted()
 }
--- a/internal/coordination/completion.go
+++ b/internal/coordination/completion.go
@@ -61,6 +61,7 @@
 		n.budget.force(now, 2)
 		p.writing = true
 		h.finishing++
+		f := bookkeeping.FinalRecord{Stage: protocol.StageDone, Done: j.Tasks, AtMS: n.Clock.Wall().UnixMilli()}
 		n.txn(protocol.Txn{
 			If: []protocol.Cond{
 				{Key: bookkeeping.JobKey(j.ID), Version: j.Version},
@@ -68,7 +69,7 @@
 			},
 			Then: []protocol.Op{
 				{Delete: bookkeeping.JobKey(j.ID)},
-				{Put: bookkeeping.FinalKey(j.ID), Value: bookkeeping.Encode(bookkeeping.FinalRecord{Stage: protocol.StageDone, Done: j.Tasks})},
+				{Put: bookkeeping.FinalKey(j.ID), Value: bookkeeping.Encode(f)},
 			},
 		}, func(revision uint64, err error) {
 			p.writing = false
@@ -82,7 +83,7 @@
 				return
 			}
 			p.wroteAt = revision
-			n.remember(j.ID, bookkeeping.FinalRecord{Stage: protocol.StageDone, Done: j.Tasks})
+			n.remember(j.ID, f)
 			n.Log.Debug("job done", "job", j.ID)
 		})
 		return false
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -14,7 +14,7 @@
 	b := l.n.cache
 	out := map[int]bool{}
 	b.Jobs.All(func(_ int, j *bookkeeping.Job) {
-		if j.Over() {
+		if !j.Runnable() {
 			return
 		}
 		only, n := 0, 0
@@ -43,7 +43,7 @@
 	arrived := map[*bookkeeping.Job]*[arrivalBins]int{}
 	var bins []*[arrivalBins]int
 	n.cache.Jobs.All(func(_ int, j *bookkeeping.Job) {
-		if !j.Over() && j.Standing() && j.Home >= 0 {
+		if j.Runnable() && j.Standing() && j.Home >= 0 {
 			out = append(out, demand{job: j, shard: j.Home, count: 1})
 		}
 	})
@@ -59,7 +59,7 @@
 		at[shapeOf(shapes[i])] = bins[i]
 	}
 	for _, d := range out {
-		if age := (nowMS - d.job.AtMS) / arrivalBin.Milliseconds(); age >= 0 && age < arrivalBins {
+		if age := (nowMS - d.job.ReadyMS()) / arrivalBin.Milliseconds(); age >= 0 && age < arrivalBins {
 			at[shapeOf(d)][age] += d.job.Tasks
 		}
 	}
@@ -167,7 +167,7 @@
 		}
 		used[j.TeamIdx].cpus += j.CPUs * float64(len(j.Intended))
 		used[j.TeamIdx].gpus += j.GPUs * float64(len(j.Intended))
-		if !j.Over() && j.Home >= 0 && j.Open() > 0 {
+		if j.Runnable() && j.Home >= 0 && j.Open() > 0 {
 			w := waiting{job: j}
 			w.rate(j.Tasks-j.DoneN, j.Running() > 0 || j.DoneN > 0, n.Settings.Cluster.Objectives, nowMS)
 			list = append(list, w)
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -360,6 +360,7 @@
 	Fleet   int    `json:"fleet"`
 	Jobs    int    `json:"jobs"`
 	Blocked int    `json:"blocked_tasks"`
+	Waiting int    `json:"waiting_jobs"`
 	Target  int    `json:"target"`
 }
 
@@ -372,7 +373,12 @@
 		}
 	})
 	n.cache.Jobs.All(func(_ int, j *bookkeeping.Job) {
-		if !j.Over() {
+		switch {
+		case j.Over():
+		case j.Waits():
+			s.Jobs++
+			s.Waiting++
+		default:
 			s.Jobs++
 			s.Blocked += j.Open()
 		}
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -185,6 +185,7 @@
 				n.leaseUntil[s] = max(n.leaseUntil[s], n.freshAt+n.blockLease)
 			}
 		}
+		n.outcomes.want()
 		n.hold.sync()
 		n.hold.schedulePass()
 	}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -13,22 +13,25 @@
 
 // holder reconciles what should be on its machines with what is.
 type holder struct {
-	n             *Node
-	machines      map[string]*holding
-	list          []*holding // the same, by name
-	writers       map[int]*recordWriter
-	placed        map[bookkeeping.TaskRef]int // attempts of a task that are not proven over
-	jobs          map[*bookkeeping.Job]*progress
-	mine          []*bookkeeping.Job // unfinished jobs of the homes held, in the order of arrival
-	jobsSeen      uint64
-	jobsOver      uint64 // of the cache, when what is held was last made to match it
-	fleetSeen     uint64
-	usage         map[int][]usage // by home and team
-	ranks         [maxRank]int    // live attempts by rank
-	services      float64         // CPUs that replicas take
-	ended         []*attempt      // completed, waiting to be durable
-	ending        []*progress     // all tasks done, waiting to be durable
-	finishing     int             // of those, being written
+	n         *Node
+	machines  map[string]*holding
+	list      []*holding // the same, by name
+	writers   map[int]*recordWriter
+	placed    map[bookkeeping.TaskRef]int // attempts of a task that are not proven over
+	jobs      map[*bookkeeping.Job]*progress
+	mine      []*bookkeeping.Job // unfinished jobs of the homes held, in the order of arrival
+	jobsSeen  uint64
+	jobsOver  uint64 // of the cache, when what is held was last made to match it
+	fleetSeen uint64
+	usage     map[int][]usage // by home and team
+	ranks     [maxRank]int    // live attempts by rank
+	services  float64         // CPUs that replicas take
+	ended     []*attempt      // completed, waiting to be durable
+	ending    []*progress     // all tasks done, waiting to be durable
+	finishing int             // of those, being written
+
+	dependentWrites map[*bookkeeping.Job]*dependentWrite // jobs cancelled with another, being written
+
 	tries         uint64
 	placingPasses int // passes that placed something
 	passScheduled bool
@@ -68,7 +71,7 @@
 func newHolder(n *Node) *holder {
 	return &holder{
 		n: n, machines: map[string]*holding{}, placed: map[bookkeeping.TaskRef]int{}, writers: map[int]*recordWriter{},
-		jobs: map[*bookkeeping.Job]*progress{}, usage: map[int][]usage{},
+		jobs: map[*bookkeeping.Job]*progress{}, usage: map[int][]usage{}, dependentWrites: map[*bookkeeping.Job]*dependentWrite{},
 	}
 }
 
@@ -314,7 +317,7 @@
 	if !n.ready {
 		return
 	}
-	n.passes.Add(1)
+	n.stats.passes.Add(1)
 	began := n.now()
 	h.stopForDrains()
 	h.place()
@@ -341,6 +344,7 @@
 		}
 	}
 	h.finish()
+	h.writeDependentCancelled()
 	h.passAt = n.now() + max(passPause, 6*(n.now()-began))
 }
 
--- a/internal/coordination/job_order.go
+++ b/internal/coordination/job_order.go
@@ -38,7 +38,7 @@
 			compareBool(a.aged != agedFirst, b.aged != agedFirst),
 			compareBool(a.late, b.late),
 			cmp.Compare(a.claim, b.claim),
-			cmp.Compare(a.job.AtMS, b.job.AtMS),
+			cmp.Compare(a.job.ReadyMS(), b.job.ReadyMS()),
 			cmp.Compare(a.job.ID, b.job.ID),
 		)
 	})
@@ -59,7 +59,7 @@
 // tasks are left of it and whether any has begun.
 func (w *waiting) rate(left int, begun bool, aims []config.Objective, nowMS int64) {
 	j := w.job
-	age := float64(nowMS-j.AtMS) / 1000
+	age := float64(nowMS-j.ReadyMS()) / 1000
 	w.starve = !begun && age > bound
 	if j.Standing() {
 		return
@@ -75,6 +75,9 @@
 			last = max(last, j.DeadlineS*o.Times)
 		}
 	}
+	if j.DeadlineS > 0 {
+		age = float64(nowMS-j.AtMS) / 1000 // a deadline counts from the submission
+	}
 	w.late = last > 0 && age+runS(j) > last
 	if w.aged = last > 0 && age > last+bound; w.aged {
 		w.claim = 0 // by arrival
@@ -91,7 +94,8 @@
 // for long goes first once.
 const agedTurn = 3
 
-// unfinished lists the unfinished jobs of the homes held, in the order of arrival.
+// unfinished lists the unfinished jobs of the homes held, in the order in which they
+// could start.
 func (h *holder) unfinished() []*bookkeeping.Job {
 	n := h.n
 	if h.jobsSeen != n.cache.JobsSeen {
@@ -103,7 +107,7 @@
 			}
 		})
 		slices.SortFunc(h.mine, func(a, b *bookkeeping.Job) int {
-			return cmp.Or(cmp.Compare(a.AtMS, b.AtMS), cmp.Compare(a.ID, b.ID))
+			return cmp.Or(cmp.Compare(a.ReadyMS(), b.ReadyMS()), cmp.Compare(a.ID, b.ID))
 		})
 	}
 	h.mine = slices.DeleteFunc(h.mine, func(j *bookkeeping.Job) bool { return !j.Wanted() })
@@ -117,7 +121,7 @@
 	booked := map[int][]usage{}
 	nowMS := n.Clock.Wall().UnixMilli()
 	for _, j := range h.unfinished() {
-		if h.writers[j.Home] == nil || !n.entitled(j.Home) {
+		if !j.Runnable() || h.writers[j.Home] == nil || !n.entitled(j.Home) {
 			continue
 		}
 		if booked[j.Home] == nil {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -12,7 +12,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"rockrun/internal/bookkeeping"
@@ -123,12 +122,11 @@
 	hold          *holder
 	orphanReports map[string]protocol.Report
 	stopped       bool
-	passes        atomic.Uint64
+	outcomes      *outcomeReader
+	accepted      acceptedMemory
+	stats         stats
 }
 
-// Passes returns how many passes there were; it may be called from any goroutine.
-func (n *Node) Passes() uint64 { return n.passes.Load() }
-
 // New makes a node; Start sets it going.
 func New(c Config) *Node {
 	n := &Node{Config: c}
@@ -210,6 +208,10 @@
 	n.orphanReports = map[string]protocol.Report{}
 	n.notices = map[string]*cancellationNotices{}
 	n.hold = newHolder(n)
+	if n.outcomes != nil {
+		n.outcomes.abandon()
+	}
+	n.outcomes = newOutcomeReader(n)
 	waits := n.syncWaits
 	n.syncWaits, n.syncing, n.syncWanted = nil, false, false
 	for _, f := range waits {
@@ -259,6 +261,7 @@
 	n.setWriteBudget()
 	n.writeLiveness()
 	n.sendCancellations()
+	n.outcomes.want()
 	n.electionTick()
 	if n.lead != nil {
 		n.lead.tick()
--- /dev/null
+++ b/internal/coordination/outcomes.go
@@ -0,0 +1,157 @@
+package coordination
+
+import (
+	"fmt"
+
+	"rockrun/internal/bookkeeping"
+	"rockrun/internal/protocol"
+)
+
+// A job that is over leaves the records that controllers follow, and its leaving does
+// not tell how it ended. Where an unfinished job needs it, its final record is read:
+// once, for however many wait for it. Controllers that place work or rent machines read
+// all that are wanted; the others only what a question asks for.
+
+// outcomeReader reads final records of needed jobs.
+type outcomeReader struct {
+	n       *Node
+	waiting map[string][]func(error) // by job: who waits for its final record
+	pace    bucket
+}
+
+// outcomeReadShare is the part of the requests to the state service that one
+// controller spends on final records at most: hundreds are read in seconds, and the
+// changes and the leases, which take a quarter and a few, are never in want.
+const outcomeReadShare = 0.125
+
+func newOutcomeReader(n *Node) *outcomeReader {
+	return &outcomeReader{n: n, waiting: map[string][]func(error){}, pace: newBucket(max(1, outcomeReadShare*n.limits.RequestRate))}
+}
+
+// read calls done once the final record of a job is known, or could not be read.
+func (r *outcomeReader) read(id string, done func(error)) {
+	if f, ok := r.n.finals[id]; ok {
+		r.n.setOutcome(id, f)
+		done(nil)
+		return
+	}
+	_, underWay := r.waiting[id]
+	r.waiting[id] = append(r.waiting[id], done)
+	if !underWay {
+		r.send(id)
+	}
+}
+
+// send reads a final record, later where too many have been read.
+func (r *outcomeReader) send(id string) {
+	n := r.n
+	now := n.now()
+	if !r.pace.take(now, 1) {
+		n.later(r.pace.until(1), func() { r.send(id) })
+		return
+	}
+	era := n.era
+	n.readFinal(id, func(_ bookkeeping.FinalRecord, found bool, err error) {
+		if era != n.era {
+			return
+		}
+		if err == nil && !found {
+			err = fmt.Errorf("%w: no final record of %s", protocol.ErrUnknown, id)
+			n.Log.Error("a job is over and has no final record", "job", id)
+		}
+		waiting := r.waiting[id]
+		delete(r.waiting, id)
+		for _, done := range waiting {
+			done(err)
+		}
+	})
+}
+
+// abandon tells all who wait that nothing will come: the incarnation is over.
+func (r *outcomeReader) abandon() {
+	for _, waiting := range r.waiting {
+		for _, done := range waiting {
+			done(protocol.ErrNotDone)
+		}
+	}
+	clear(r.waiting)
+}
+
+// readAll calls done once the final records of all the jobs are known; with an error if
+// any could not be read.
+func (r *outcomeReader) readAll(jobs []*bookkeeping.Job, done func(error)) {
+	left := len(jobs)
+	if left == 0 {
+		done(nil)
+		return
+	}
+	var failed error
+	for _, j := range jobs {
+		r.read(j.ID, func(err error) {
+			if err != nil {
+				failed = err
+			}
+			if left--; left == 0 {
+				done(failed)
+			}
+		})
+	}
+}
+
+// want reads, on a controller that places work or rents machines, what it does not
+// know yet.
+func (r *outcomeReader) want() {
+	n := r.n
+	if n.lead == nil && len(n.hold.writers) == 0 {
+		return
+	}
+	for _, j := range n.cache.Unread() {
+		if _, underWay := r.waiting[j.ID]; !underWay {
+			r.read(j.ID, func(error) {}) // the next tick asks again
+		}
+	}
+}
+
+// readFinal reads the final record of a job and remembers it; found is false where the
+// job is not over, or was never accepted.
+func (n *Node) readFinal(id string, done func(f bookkeeping.FinalRecord, found bool, err error)) {
+	n.State.Get(bookkeeping.FinalKey(id), func(it protocol.Item, found bool, err error) {
+		if err != nil || !found {
+			done(bookkeeping.FinalRecord{}, false, err)
+			return
+		}
+		f, err := bookkeeping.DecodeFinal(it.Value)
+		if err == nil {
+			n.remember(id, f)
+		}
+		done(f, err == nil, err)
+	})
+}
+
+// setOutcome takes in how a job ended, and what follows for those that need it.
+func (n *Node) setOutcome(id string, f bookkeeping.FinalRecord) {
+	released, cancelled := n.cache.SetOutcome(id, f)
+	for _, j := range released {
+		if n.holds(j.Home) {
+			n.stats.released.Add(1)
+			n.Log.Info("job released", "job", j.ID, "after", id)
+		}
+	}
+	n.noteCancelledWith(cancelled)
+	if len(released) > 0 {
+		n.hold.schedulePass()
+	}
+}
+
+// noteCancelledWith says which jobs are cancelled with another.
+func (n *Node) noteCancelledWith(jobs []*bookkeeping.Job) {
+	for _, j := range jobs {
+		if n.holds(j.Home) {
+			n.stats.cancelledWith.Add(1)
+			n.Log.Info("job cancelled with another", "job", j.ID, "with", j.CancelledWith().ID)
+		}
+	}
+	if len(jobs) > 0 {
+		n.hold.schedulePass()
+	}
+}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -105,7 +105,7 @@
 func (h *holder) gatheringZone(w waiting) int {
 	rooms, ready := map[int]int{}, map[int]int{}
 	open := w.job.Tasks - w.prog.doneN
-	waited := time.Duration(h.n.Clock.Wall().UnixMilli()-w.job.AtMS) * time.Millisecond
+	waited := time.Duration(h.n.Clock.Wall().UnixMilli()-w.job.ReadyMS()) * time.Millisecond
 	best := -1
 	for _, x := range h.list {
 		booting := x.seq == 0 && len(x.m.Intents) == 0 && waited < gatherPatience
@@ -162,7 +162,7 @@
 	h.writers[x.shard].unassigned = append(h.writers[x.shard].unassigned, a)
 	if h.n.Log.Enabled(context.Background(), slog.LevelDebug) {
 		h.n.Log.Debug("place", "job", j.ID, "task", task, "machine", x.m.Name, "cached", cached, "image", j.Image,
-			"waited_ms", h.n.Clock.Wall().UnixMilli()-j.AtMS)
+			"waited_ms", h.n.Clock.Wall().UnixMilli()-j.ReadyMS())
 	}
 	return a
 }
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -139,6 +139,9 @@
 		u, w := &used[j.TeamIdx][j.Home], &waits[j.TeamIdx][j.Home]
 		u.cpus += float64(j.Running()) * j.CPUs
 		u.gpus += float64(j.Running()) * j.GPUs
+		if !j.Runnable() {
+			return
+		}
 		w.cpus += float64(j.Open()) * j.CPUs
 		w.gpus += float64(j.Open()) * j.GPUs
 	})
--- a/internal/coordination/summary.go
+++ b/internal/coordination/summary.go
@@ -21,7 +21,7 @@
 		}
 	}
 	states := map[taskState]int{}
-	unwritten, waits := 0, 0
+	unwritten, waits, dependent := 0, 0, 0
 	for _, x := range h.list {
 		for _, a := range x.attempts {
 			if x.shard == shard {
@@ -33,12 +33,16 @@
 		}
 	}
 	for _, j := range h.unfinished() {
-		if j.Home == shard {
+		switch {
+		case j.Home != shard:
+		case j.Waits():
+			dependent++
+		default:
 			p := h.progress(j)
 			waits += max(0, j.Tasks-p.doneN-p.attempts)
 		}
 	}
-	n.Log.Info("home", "shard", shard, "machines", machines, "usable", usable, "full", full, "waiting", waits,
+	n.Log.Info("home", "shard", shard, "machines", machines, "usable", usable, "full", full, "waiting", waits, "dependent", dependent,
 		"unwritten", unwritten, "planned", states[taskPlanned], "fetching", states[taskFetching], "running", states[taskRunning],
 		"saving", states[taskSaving], "ended", states[taskEnded], "pages", len(h.writers[shard].pages), "writes", n.budget.level)
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -38,6 +38,7 @@
 		}
 	}
 	n.finals[id] = f
+	n.setOutcome(id, f)
 }
 
 // Healthy reports whether users had better come here: the node can take requests,
@@ -66,26 +67,11 @@
 		reply(retryLater("starting"))
 		return
 	}
-	known := func() {
-		n.lookup(spec.ID, func(v *protocol.View, err error) {
-			switch {
-			case err != nil:
-				reply(retryLater("state service does not answer"))
-			case v == nil:
-				reply(retryLater("undecided"))
-			default:
-				reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: v.ID, Stage: v.Stage}})
-			}
-		})
-	}
 	// A repeat of a known job is answered before anything else is checked: what
 	// was accepted once must not be refused later.
-	if _, j := n.cache.Jobs.Find(spec.ID); j != nil && !j.Over() {
-		known()
-		return
-	}
-	if _, over := n.finals[spec.ID]; over {
-		known()
+	_, over := n.finals[spec.ID]
+	if _, j := n.cache.Jobs.Find(spec.ID); over || j != nil && !j.Over() {
+		n.answerKnown(spec.ID, reply)
 		return
 	}
 	if n.cache.TypesVer == 0 {
@@ -96,29 +82,89 @@
 		reply(problem(http.StatusUnprocessableEntity, why))
 		return
 	}
-	rec := bookkeeping.Encode(bookkeeping.JobRecord{Spec: *spec, AtMS: n.Clock.Wall().UnixMilli()})
-	if len(rec) > n.capacity() {
-		reply(problem(http.StatusBadRequest, "malformed: description too long to be kept"))
+	n.checkNeeds(spec.Needs, func(verdict needVerdict) {
+		switch verdict {
+		case needImpossible:
+			reply(problem(http.StatusUnprocessableEntity, "waitsOn: names a job that was never accepted, or a service"))
+		case needUndecided:
+			reply(retryLater("state service does not answer"))
+		default:
+			n.accept(spec, verdict == needCancelled, reply)
+		}
+	})
+}
+
+// answerKnown answers a repeated submission with what has become of the job.
+func (n *Node) answerKnown(id string, reply func(Answer)) {
+	n.lookup(id, func(v *protocol.View, err error) {
+		switch {
+		case err != nil:
+			reply(retryLater("state service does not answer"))
+		case v == nil:
+			reply(retryLater("undecided"))
+		default:
+			reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: v.ID, Stage: v.Stage}})
+		}
+	})
+}
+
+// accept makes a job durable. One that needs a cancelled job is accepted as
+// cancelled: its final record is all there ever is of it.
+func (n *Node) accept(spec *protocol.Spec, cancelled bool, reply func(Answer)) {
+	now := n.Clock.Wall().UnixMilli()
+	put := protocol.Op{Put: bookkeeping.JobKey(spec.ID), Value: bookkeeping.Encode(bookkeeping.JobRecord{Spec: *spec, AtMS: now})}
+	final := bookkeeping.FinalRecord{Stage: protocol.StageWithdrawn, AtMS: now}
+	stage := protocol.StageQueued
+	if cancelled {
+		put = protocol.Op{Put: bookkeeping.FinalKey(spec.ID), Value: bookkeeping.Encode(final)}
+		stage = protocol.StageWithdrawn
+	}
+	if len(put.Value) > n.capacity() {
+		n.refuseTooLong(spec.ID, reply)
 		return
 	}
 	n.budget.force(n.now(), 1)
 	n.txn(protocol.Txn{
 		If:   []protocol.Cond{{Key: bookkeeping.JobKey(spec.ID)}, {Key: bookkeeping.FinalKey(spec.ID)}},
-		Then: []protocol.Op{{Put: bookkeeping.JobKey(spec.ID), Value: rec}},
+		Then: []protocol.Op{put},
 	}, func(_ uint64, err error) {
 		switch {
 		case err == nil:
-			reply(Answer{Status: http.StatusCreated, Body: protocol.Receipt{ID: spec.ID, Stage: protocol.StageQueued}})
+			n.accepted.add(spec.ID, spec.Kind, n.now())
+			if cancelled {
+				n.remember(spec.ID, final)
+			}
+			reply(Answer{Status: http.StatusCreated, Body: protocol.Receipt{ID: spec.ID, Stage: stage}})
 		case errors.Is(err, protocol.ErrConflict):
-			known()
+			n.answerKnown(spec.ID, reply)
+		case errors.Is(err, protocol.ErrRejected):
+			n.refuseTooLong(spec.ID, reply)
 		default:
 			reply(retryLater("state service does not answer"))
 		}
 	})
 }
 
+// refuseTooLong refuses a job whose record does not fit a value, unless it was accepted
+// when longer values fitted.
+func (n *Node) refuseTooLong(id string, reply func(Answer)) {
+	n.lookup(id, func(v *protocol.View, err error) {
+		switch {
+		case err != nil:
+			reply(retryLater("state service does not answer"))
+		case v == nil:
+			reply(problem(http.StatusBadRequest, "malformed: description too long to be kept"))
+		default:
+			reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: v.ID, Stage: v.Stage}})
+		}
+	})
+}
+
 // impossible tells why a job can never run, or "".
 func (n *Node) impossible(s *protocol.Spec) string {
+	if slices.Contains(s.Needs, s.ID) {
+		return "waitsOn: names the job itself"
+	}
 	team := n.cache.TeamNames.Lookup(s.Team)
 	if team < 0 {
 		return "unknown team"
@@ -158,7 +204,7 @@
 // was not accepted when the question came.
 func (n *Node) lookup(id string, done func(*protocol.View, error)) {
 	if f, ok := n.finals[id]; ok {
-		done(&protocol.View{ID: id, Stage: f.Stage, Done: f.Done}, nil)
+		done(viewOfFinal(id, f), nil)
 		return
 	}
 	n.sync(func(err error) {
@@ -167,29 +213,47 @@
 			return
 		}
 		if _, j := n.cache.Jobs.Find(id); j != nil && !j.Over() {
-			done(n.view(j), nil)
+			n.viewUnfinished(j, done)
 			return
 		}
-		n.State.Get(bookkeeping.FinalKey(id), func(it protocol.Item, found bool, err error) {
+		n.readFinal(id, func(f bookkeeping.FinalRecord, found bool, err error) {
 			if err != nil || !found {
 				done(nil, err)
 				return
 			}
-			f, err := bookkeeping.DecodeFinal(it.Value)
-			if err != nil {
-				done(nil, err)
-				return
-			}
-			n.remember(id, f)
-			done(&protocol.View{ID: id, Stage: f.Stage, Done: f.Done}, nil)
+			done(viewOfFinal(id, f), nil)
 		})
 	})
 }
 
+// viewUnfinished describes a job that the cache, brought up to date a moment ago, knows
+// to be unfinished. Whether it is cancelled with a job that it needs follows from the
+// final records of those that are over: they are read before anything is said.
+func (n *Node) viewUnfinished(j *bookkeeping.Job, done func(*protocol.View, error)) {
+	n.outcomes.readAll(n.cache.UnreadBefore(j), func(err error) {
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		if j.Over() { // since
+			n.lookup(j.ID, done)
+			return
+		}
+		done(n.view(j), nil)
+	})
+}
+
+func viewOfFinal(id string, f bookkeeping.FinalRecord) *protocol.View {
+	return &protocol.View{ID: id, Stage: f.Stage, Done: f.Done}
+}
+
 // view describes a job known to be unfinished; the counts are for display.
 func (n *Node) view(j *bookkeeping.Job) *protocol.View {
 	v := &protocol.View{ID: j.ID, Stage: protocol.StageQueued, Done: j.DoneN, Running: j.Running()}
-	if v.Running > 0 {
+	switch {
+	case j.Cancelled || j.CancelledWith() != nil:
+		v.Stage, v.Running = protocol.StageWithdrawn, 0
+	case v.Running > 0:
 		v.Stage = protocol.StageRunning
 	}
 	return v
@@ -262,7 +326,7 @@
 			})
 			return
 		}
-		f := bookkeeping.FinalRecord{Stage: protocol.StageWithdrawn}
+		f := bookkeeping.FinalRecord{Stage: protocol.StageWithdrawn, AtMS: n.Clock.Wall().UnixMilli()}
 		n.budget.force(n.now(), 2)
 		n.txn(protocol.Txn{
 			If: []protocol.Cond{{Key: bookkeeping.JobKey(id), Version: it.Version}},
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -57,6 +57,8 @@
 	CheckpointS float64  `json:"markS,omitempty"`
 	SaveS       float64  `json:"stashS,omitempty"`
 	DeadlineS   float64  `json:"dueS,omitempty"` // 0: no deadline
+	// Jobs that must be done before any task of this one starts, each named once.
+	Needs []string `json:"waitsOn,omitempty"`
 }
 
 // Rank gives the job's priority as a number, 0 being the highest.
@@ -91,6 +93,7 @@
 	CheckpointS *float64  `json:"markS"`
 	SaveS       *float64  `json:"stashS"`
 	DeadlineS   *float64  `json:"dueS"`
+	Needs       *[]string `json:"waitsOn"`
 }
 
 // ErrMalformed marks a body its sender must correct.
@@ -236,9 +239,28 @@
 		}
 		s.Types = *r.Types
 	}
+	if r.Needs != nil {
+		s.Needs = f.jobIDs("waitsOn", *r.Needs)
+	}
 	return s, f.err
 }
 
+// jobIDs reads a list of jobs, of which each counts once.
+func (f *fieldReader) jobIDs(field string, list []string) (ids []string) {
+	seen := make(map[string]bool, len(list))
+	for _, id := range list {
+		if !ValidJobID(id) {
+			f.fail(field, "not of the form run-000412")
+			return nil
+		}
+		if !seen[id] {
+			seen[id] = true
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // View is what a user is told about a job.
 type View struct {
 	ID      string `json:"id"`
--- a/internal/scenario/actions.go
+++ b/internal/scenario/actions.go
@@ -8,6 +8,7 @@
 // actions are the verbs of a script.
 var actions = map[string]action{
 	"submit":        actSubmit,
+	"pipeline":      actPipeline,
 	"withdraw":      actWithdraw,
 	"crash":         actCrash,
 	"freeze":        actFreeze,
--- a/internal/scenario/actions_users.go
+++ b/internal/scenario/actions_users.go
@@ -13,6 +13,13 @@
 
 func actSubmit(s *sim, line *statement) func() {
 	j := s.job(line)
+	switch when := line.text("when", "now"); when {
+	case "accepted", "over":
+		return func() { s.users.submitWhen(j, when == "over") }
+	case "now":
+	default:
+		line.fail("submit: when %s", when)
+	}
 	return func() {
 		j.submitted = s.now
 		s.users.jobs[j.spec.ID] = j
@@ -111,6 +118,9 @@
 	default:
 		line.fail("kind %s", kind)
 	}
+	if needs := line.text("needs", ""); needs != "" {
+		sp.Needs = strings.Split(needs, ",")
+	}
 	if t := line.text("types", ""); t != "" {
 		sp.Types = strings.Split(t, ",")
 	}
--- a/internal/scenario/users.go
+++ b/internal/scenario/users.go
@@ -44,6 +44,7 @@
 	beganAt     time.Duration // first task started
 	idleSince   time.Duration // since when it waits though there is room; 0: not so
 	repeats     int
+	completeAt  time.Duration // when its last task completed
 }
 
 // ask makes a request to some node that is up; answer is called once, with
@@ -109,10 +110,12 @@
 	s := u.s
 	body := u.body(j)
 	accepted, final := j.accepted, j.final // what the user knew when it asked
+	allAccepted := u.allAccepted(j)
 	u.ask(func(n *coordination.Node, reply func(coordination.Answer)) { n.Submit(body, reply) }, func(a coordination.Answer) {
 		if a.Status != 0 {
 			j.status = a.Status
 		}
+		s.check.acceptedNeeds(j, a.Status, allAccepted)
 		switch a.Status {
 		case http.StatusOK, http.StatusCreated:
 			if !j.accepted {
--- /dev/null
+++ b/internal/scenario/users_pipelines.go
@@ -0,0 +1,135 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"rockrun/internal/protocol"
+)
+
+// Jobs that wait for others, as users submit them: each as soon as those that it needs
+// are accepted, or only once these are over.
+
+// submitWhen submits a job once all that it needs is accepted, or over.
+func (u *users) submitWhen(j *userJob, over bool) {
+	ready := !slices.ContainsFunc(j.spec.Needs, func(id string) bool {
+		need := u.jobs[id]
+		return need == nil || !need.accepted || over && need.final == ""
+	})
+	if !ready {
+		u.s.after(needPause, func() { u.submitWhen(j, over) })
+		return
+	}
+	j.submitted = u.s.now
+	u.jobs[j.spec.ID] = j
+	u.submit(j)
+}
+
+// needPause is how often a user looks whether the next job can be submitted: those that
+// it needs were accepted this little ago.
+const needPause = time.Millisecond
+
+// allAccepted reports whether all jobs that a job names are accepted.
+func (u *users) allAccepted(j *userJob) bool {
+	return !slices.ContainsFunc(j.spec.Needs, func(id string) bool {
+		need := u.jobs[id]
+		return need == nil || !need.accepted
+	})
+}
+
+// pipelineShapes are the jobs of pipelines: for each the numbers of those that it
+// needs.
+var pipelineShapes = map[string][][]int{
+	"chain":   {{}, {0}, {1}, {2}},
+	"diamond": {{}, {0}, {0}, {1, 2}, {3}},
+	"fan-in":  {{}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}},
+	"fan-out": {{}, {0}, {0}, {0}, {0}, {0}, {0}, {0}, {0}, {0}, {0}, {0}, {0}},
+	"ten":     {{}, {0}, {1}, {2}, {3}, {4}, {5}, {6}, {7}, {8}},
+}
+
+// actPipeline lets users submit pipelines: one every so often. Arguments are those of a
+// job, which all of its jobs are like; rank and deadline are the last one's.
+func actPipeline(s *sim, line *statement) func() {
+	first, err := strconv.Atoi(strings.TrimPrefix(line.arg(0), "run-"))
+	if err != nil {
+		line.fail("pipeline: %v", err)
+	}
+	shape, known := pipelineShapes[line.text("shape", "chain")]
+	if !known {
+		line.fail("pipeline: shape %s", line.pairs["shape"])
+		return nil
+	}
+	every, count := line.duration(line.text("every", "1s")), int(line.num("count", 1))
+	cancelled, late := line.num("cancelled", 0), line.num("late", 0)
+	after := line.duration(line.text("after", "20s"))
+	pipelines := make([][]*userJob, count)
+	for i := range pipelines {
+		pipelines[i] = s.pipeline(line, first+i*len(shape), shape)
+	}
+	return func() {
+		for i, jobs := range pipelines {
+			s.after(time.Duration(i)*every, func() { s.users.submitPipeline(jobs, s.rand.Float64() < late) })
+			if s.rand.Float64() < cancelled {
+				victim := jobs[s.rand.IntN(len(jobs)-1)]
+				s.after(time.Duration(i)*every+time.Duration(s.rand.Int64N(int64(after))), func() {
+					if victim.accepted {
+						s.users.withdraw(victim)
+					}
+				})
+			}
+		}
+	}
+}
+
+// pipeline reads the description of one pipeline.
+func (s *sim) pipeline(line *statement, first int, shape [][]int) []*userJob {
+	jobs := make([]*userJob, len(shape))
+	for k, needs := range shape {
+		line.args[0] = fmt.Sprintf("run-%d", first+k)
+		j := s.job(line)
+		if k < len(shape)-1 {
+			j.spec.DeadlineS = 0
+			j.spec.Priority = "best_effort"
+		}
+		for _, need := range needs {
+			j.spec.Needs = append(j.spec.Needs, fmt.Sprintf("run-%d", first+need))
+		}
+		jobs[k] = j
+	}
+	return jobs
+}
+
+// submitPipeline submits the jobs of a pipeline; late is for the last one to come only
+// when the others are over.
+func (u *users) submitPipeline(jobs []*userJob, late bool) {
+	for k, j := range jobs {
+		u.submitWhen(j, late && k == len(jobs)-1)
+	}
+}
+
+// expectReleased: the first task of a job started within a time of the end of the last
+// job that it needs.
+func expectReleased(s *sim, line *statement) string {
+	j := s.users.jobs[line.arg(0)]
+	if j == nil || j.beganAt == 0 {
+		return "it never began"
+	}
+	return exceeds(line, j.beganAt-s.readyAt(j))
+}
+
+// expectCancelledWith: a job is cancelled, and its own user didn't ask for it.
+func expectCancelledWith(s *sim, line *statement) string {
+	j := s.users.jobs[line.arg(0)]
+	switch {
+	case j == nil:
+		return "no such job"
+	case j.asked:
+		return "its own user cancelled it"
+	case j.final != protocol.StageWithdrawn:
+		return fmt.Sprintf("it is %q", j.final)
+	}
+	return ""
+}
--- a/internal/scenario/worker.go
+++ b/internal/scenario/worker.go
@@ -370,6 +370,7 @@
 				w.s.check.finished[c.Task] = true
 				w.end(t, protocol.CauseDone)
 				if w.s.check.complete(job) {
+					job.completeAt = w.s.now
 					w.s.users.lastEnded(job)
 				}
 			})
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"rockrun/internal/coordination"
 	"rockrun/internal/protocol"
 )
 
@@ -80,11 +81,26 @@
 	}
 }
 
-// Passes exports how many placing passes there were.
-func (m *Metrics) Passes(count func() uint64) {
-	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Name: "rockrun_passes_total", Help: "Passes over all that the controller holds.",
-	}, func() float64 { return float64(count()) }))
+// Node exports a node's counts.
+func (m *Metrics) Node(stats func() coordination.Stats) {
+	counter := func(name, help string, count func(coordination.Stats) uint64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help},
+			func() float64 { return float64(count(stats())) }))
+	}
+	gauge := func(name, help string, value func(coordination.Stats) int64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help},
+			func() float64 { return float64(value(stats())) }))
+	}
+	counter("rockrun_passes_total", "Passes over all that the controller holds.",
+		func(s coordination.Stats) uint64 { return s.Passes })
+	counter("rockrun_jobs_released_total", "Jobs of the controller's homes that could start since all that they need was done.",
+		func(s coordination.Stats) uint64 { return s.Released })
+	counter("rockrun_jobs_cancelled_with_another_total", "Jobs of the controller's homes that were cancelled with one that they need.",
+		func(s coordination.Stats) uint64 { return s.CancelledWith })
+	gauge("rockrun_jobs_waiting", "Unfinished jobs that wait for others.",
+		func(s coordination.Stats) int64 { return s.Waiting })
+	gauge("rockrun_oversized_values", "Values the controller writes that are over the limit in force and not yet split.",
+		func(s coordination.Stats) int64 { return s.Oversized })
 }
 
 // result names how a call to the outside ended.
