--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -7,12 +7,16 @@
 	"time"
 
 	"golang.org/x/tools/txtar"
+
+	"rockrun/internal/protocol"
 )
 
 // Result is what came of a scenario.
 type Result struct {
 	Broken []string // rules, with when and how
 	Failed []string // expectations that were not met
+
+	Records []protocol.Item // what lies in the state service at the end, by key
 }
 
 // defaultEnd is when a scenario ends whose script doesn't say.
@@ -38,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Result{Broken: s.check.broken, Failed: failed}, nil
+	return &Result{Broken: s.check.broken, Failed: failed, Records: s.store.list()}, nil
 }
 
 // schedule reads the script: lines of a time, a verb and its arguments. It
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -109,6 +109,15 @@
 	return keys
 }
 
+// list is all that lies here, by key.
+func (st *store) list() []protocol.Item {
+	var items []protocol.Item
+	for _, key := range st.keys("") {
+		items = append(items, *st.items[key])
+	}
+	return items
+}
+
 func (st *store) record(e protocol.Event) { st.history = append(st.history, change{st.revision, e}) }
 
 // txn carries out a transaction.
