--- a/internal/bookkeeping/cache.go
+++ b/internal/bookkeeping/cache.go
@@ -258,8 +258,7 @@
 		if _, j := b.Jobs.Find(key[len(prefixJob):]); j != nil && version > j.Version && j.Version != 0 {
 			j.Version = 0
 			b.JobsOver++
-			b.unlink(j)
-			b.noteUnread(j)
+			b.leave(j)
 			b.DropJob(j)
 		}
 	}
--- a/internal/bookkeeping/dependencies.go
+++ b/internal/bookkeeping/dependencies.go
@@ -111,6 +111,16 @@
 	}
 }
 
+// leave takes in that a job is over. One that was known to be cancelled can't have
+// ended in any other way.
+func (b *Cache) leave(j *Job) {
+	if j.cancelled() {
+		j.outcome = OutcomeCancelled
+	}
+	b.unlink(j)
+	b.noteUnread(j)
+}
+
 // noteUnread keeps the set of jobs whose final records are wanted.
 func (b *Cache) noteUnread(j *Job) {
 	if j.unread() {
--- a/internal/protocol/users_test.go
+++ b/internal/protocol/users_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -41,6 +43,13 @@
 		{"null where none may be", func(m map[string]any) { m["guessS"] = nil }, false},
 		{"empty list of types", func(m map[string]any) { m["builds"] = []string{} }, false},
 		{"nothing wanted", func(m map[string]any) { m["vcpus"], m["gpus"], m["ramGb"] = 0, 0, 0 }, false},
+		{"no needs", func(m map[string]any) { m["waitsOn"] = nil }, true},
+		{"empty list of needs", func(m map[string]any) { m["waitsOn"] = []string{} }, true},
+		{"needs", func(m map[string]any) { m["waitsOn"] = []string{"run-000398", "run-000405"} }, true},
+		{"needs that are no list", func(m map[string]any) { m["waitsOn"] = "run-000398" }, false},
+		{"needs that are numbers", func(m map[string]any) { m["waitsOn"] = []int{398} }, false},
+		{"a need that is null", func(m map[string]any) { m["waitsOn"] = []any{nil} }, false},
+		{"a need of another form", func(m map[string]any) { m["waitsOn"] = []string{"run-000398", "job-7"} }, false},
 		{"very long name", func(m map[string]any) { m["crew"] = strings.Repeat("x", 201) }, false},
 		{"body too large", func(m map[string]any) { m["pad"] = strings.Repeat("x", MaxBody) }, false},
 	}
@@ -71,6 +80,73 @@
 	}
 }
 
+// A job that is named twice counts once, and no needs are none, however they are left
+// out.
+func TestNeedsAreRead(t *testing.T) {
+	for _, c := range []struct {
+		given any
+		want  []string
+	}{
+		{nil, nil}, {[]string{}, nil}, {[]string{"run-2", "run-1", "run-2"}, []string{"run-2", "run-1"}},
+	} {
+		m := valid()
+		m["waitsOn"] = c.given
+		body, err := json.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := ParseSubmission(body)
+		if err != nil || !slices.Equal(s.Needs, c.want) {
+			t.Errorf("%v: read as %v, %v", c.given, s, err)
+		}
+	}
+	m := valid()
+	m["waitsOn"] = []string{"x"}
+	body, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ParseSubmission(body); err == nil || !strings.Contains(err.Error(), "waitsOn") {
+		t.Errorf("error %v does not name the field", err)
+	}
+}
+
+// FuzzSubmission: whatever comes is either refused as malformed or read as a job that
+// is written and read again unchanged.
+func FuzzSubmission(f *testing.F) {
+	for _, needs := range []any{nil, []string{"run-1"}, []string{"run-1", "run-1", "x"}, 7, []any{nil}} {
+		m := valid()
+		m["waitsOn"] = needs
+		body, err := json.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		s, err := ParseSubmission(body)
+		if err != nil {
+			if !errors.Is(err, ErrMalformed) {
+				t.Fatalf("%v does not wrap ErrMalformed", err)
+			}
+			return
+		}
+		for i, id := range s.Needs {
+			if !ValidJobID(id) || slices.Contains(s.Needs[:i], id) {
+				t.Fatalf("needs %q", s.Needs)
+			}
+		}
+		record, err := json.Marshal(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var again Spec
+		if err := Decode(record, &again); err != nil || !reflect.DeepEqual(*s, again) {
+			t.Fatalf("%+v was read again as %+v, %v", *s, again, err)
+		}
+	})
+}
+
 func TestReports(t *testing.T) {
 	if _, err := ParseReport([]byte(`{"host":"m-1","shift":1,"tick":3,"pieces":null}`)); err != nil {
 		t.Error(err)
--- a/internal/scenario/actions_users.go
+++ b/internal/scenario/actions_users.go
@@ -36,10 +36,15 @@
 		line.fail("stream: %v", err)
 	}
 	cancelled, after := line.num("cancelled", 0), line.duration(line.text("after", "5s"))
+	behind := int(line.num("behind", -1)) // the first of as many jobs of which each needs one
 	var jobs []*userJob
 	for i := range count {
 		line.args[0] = fmt.Sprintf("%s-%d", prefix, first+i)
-		jobs = append(jobs, s.job(line))
+		j := s.job(line)
+		if behind >= 0 {
+			j.spec.Needs = append(j.spec.Needs, fmt.Sprintf("%s-%d", prefix, behind+i))
+		}
+		jobs = append(jobs, j)
 	}
 	return func() {
 		for i, j := range jobs {
--- a/internal/scenario/expect.go
+++ b/internal/scenario/expect.go
@@ -25,6 +25,8 @@
 	"running":   expectRunning,
 	"released":  expectReleased,
 
+	"released-all": expectReleasedAll,
+
 	"cancelled-with": expectCancelledWith,
 
 	"machines": expectMachines,
@@ -40,6 +42,8 @@
 	"writes":      func(s *sim, line *statement) string { return line.bounds(s.store.writes) },
 	"looks":       func(s *sim, line *statement) string { return line.bounds(s.users.looks) },
 	"records":     func(s *sim, line *statement) string { return line.bounds(len(s.store.keys(bookkeeping.Prefix))) },
+	"final-reads": func(s *sim, line *statement) string { return line.bounds(s.store.finals) },
+	"unfinished":  func(s *sim, line *statement) string { return line.bounds(len(s.store.keys(bookkeeping.JobKey("")))) },
 	"requests":    func(s *sim, line *statement) string { return line.bounds(s.store.requests) },
 	"rejected":    func(s *sim, line *statement) string { return line.bounds(s.store.rejected) },
 	"inherited":   func(s *sim, line *statement) string { return line.bounds(s.store.inherited) },
--- a/internal/scenario/store.go
+++ b/internal/scenario/store.go
@@ -29,6 +29,7 @@
 	writes    int     // puts and removals carried out or refused by a condition
 	grants    int     // grants that were carried out
 	requests  int     // all calls
+	finals    int     // reads of final records
 	tokens    float64 // writes that may be made now
 	tokensAt  time.Duration
 	lose      float64 // share of transactions whose answer is lost
@@ -253,6 +254,9 @@
 // Get implements coordination.State.
 func (l stateLink) Get(key string, done func(protocol.Item, bool, error)) {
 	l.call(func(st *store) func() {
+		if strings.HasPrefix(key, bookkeeping.FinalKey("")) {
+			st.finals++
+		}
 		it := st.items[key]
 		if it == nil {
 			return func() { done(protocol.Item{}, false, nil) }
--- a/internal/scenario/users_faults.go
+++ b/internal/scenario/users_faults.go
@@ -121,11 +121,23 @@
 				}
 				u.look(h.p, j)
 				u.repeat(h.p, j)
+				if j.final == protocol.StageWithdrawn {
+					u.lookAtDependants(h.p, j)
+				}
 			})
 		}
 	}
 }
 
+// lookAtDependants asks a controller about the jobs that need one that is cancelled.
+func (u *users) lookAtDependants(p *process, j *userJob) {
+	for _, id := range slices.Sorted(maps.Keys(u.jobs)) {
+		if d := u.jobs[id]; d.accepted && slices.Contains(u.s.check.before(d), j) {
+			u.look(p, d)
+		}
+	}
+}
+
 // look asks a controller about a job once.
 func (u *users) look(p *process, j *userJob) {
 	id, final := j.spec.ID, j.final
--- a/internal/scenario/users_pipelines.go
+++ b/internal/scenario/users_pipelines.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -120,6 +121,23 @@
 	return exceeds(line, j.beganAt-s.readyAt(j))
 }
 
+// expectReleasedAll is the same for all jobs that need others and are not cancelled.
+func expectReleasedAll(s *sim, line *statement) string {
+	for _, id := range slices.Sorted(maps.Keys(s.users.jobs)) {
+		j := s.users.jobs[id]
+		if _, cancelled := s.check.cancelledBefore(j); len(j.spec.Needs) == 0 || j.asked || cancelled || !s.check.needsDone(j) {
+			continue
+		}
+		if j.beganAt == 0 {
+			return id + " never began"
+		}
+		if why := exceeds(line, j.beganAt-s.readyAt(j)); why != "" {
+			return id + ": " + why
+		}
+	}
+	return ""
+}
+
 // expectCancelledWith: a job is cancelled, and its own user didn't ask for it.
 func expectCancelledWith(s *sim, line *statement) string {
 	j := s.users.jobs[line.arg(0)]
