Stages wait with the highest priority of the jobs that need them

Cause: stages before the last have the lowest priority, so they waited behind all digests and reports, and with them the last job and its deadline. They stop nothing by it and are not stopped for what ranks below the last job.

--- a/internal/bookkeeping/dependencies.go
+++ b/internal/bookkeeping/dependencies.go
@@ -37,6 +37,15 @@
 	// cancelledBy is the cancelled job that this one needs, directly or through
 	// others.
 	cancelledBy *Job
+
+	urgency urgency
+}
+
+// urgency is what a job takes over from the jobs that need it.
+type urgency struct {
+	seen uint64 // state of the jobs that it follows from, see Cache.jobsState
+	rank int
+	due  int64
 }
 
 // Waits reports whether the job waits for others: as far as is known, not all that it
@@ -206,6 +215,44 @@
 	return list
 }
 
+// jobsState changes with every job that comes, ends or is cancelled.
+func (b *Cache) jobsState() uint64 { return b.JobsSeen + b.JobsOver + 1 }
+
+// EffectiveRank is the highest priority, as a number of which 0 is the highest, of a
+// job and of those that need it, directly or through others.
+func (b *Cache) EffectiveRank(j *Job) int { return b.urgencyOf(j).rank }
+
+// DueMS is the time of day by which a job must be done if it and all that need it are
+// to be in time; 0: there is no such time.
+func (b *Cache) DueMS(j *Job) int64 { return b.urgencyOf(j).due }
+
+// urgencyOf works out what a job takes over. Users set deadline and priority on the
+// last job of a pipeline only, and it may come long after the first.
+func (b *Cache) urgencyOf(j *Job) urgency {
+	if j.urgency.seen == b.jobsState() {
+		return j.urgency
+	}
+	u := urgency{seen: b.jobsState(), rank: j.Rank()}
+	if j.DeadlineS > 0 {
+		u.due = j.AtMS + int64(j.DeadlineS*1000)
+	}
+	for _, d := range j.dependants {
+		if !d.Wanted() {
+			continue
+		}
+		after := b.urgencyOf(d)
+		u.rank = min(u.rank, after.rank)
+		if after.due != 0 {
+			due := after.due - int64(max(d.EstimateS, 1)*1000)
+			if u.due == 0 || due < u.due {
+				u.due = due
+			}
+		}
+	}
+	j.urgency = u
+	return u
+}
+
 // sortedJobs lists a set of jobs in the order of their names: what a controller does
 // must follow from what it knows alone.
 func sortedJobs(set map[*Job]bool) []*Job {
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -168,7 +168,7 @@
 		used[j.TeamIdx].cpus += j.CPUs * float64(len(j.Intended))
 		used[j.TeamIdx].gpus += j.GPUs * float64(len(j.Intended))
 		if j.Runnable() && j.Home >= 0 && j.Open() > 0 {
-			w := waiting{job: j}
+			w := waiting{job: j, rank: n.cache.EffectiveRank(j)}
 			w.rate(j.Tasks-j.DoneN, j.Running() > 0 || j.DoneN > 0, n.Settings.Cluster.Objectives, nowMS)
 			list = append(list, w)
 			if j.Spread && j.Tasks > 1 || j.OneZone && j.Running() > 0 {
--- a/internal/coordination/job_order.go
+++ b/internal/coordination/job_order.go
@@ -13,6 +13,7 @@
 type waiting struct {
 	job    *bookkeeping.Job
 	prog   *progress
+	rank   int     // the highest of its own and of those of the jobs that need it
 	within bool    // fits into its team's guarantee with the team's earlier jobs
 	starve bool    // nothing of it has begun for too long
 	late   bool    // too late to be of the use its owner hoped for
@@ -32,7 +33,7 @@
 func order(list []waiting, agedFirst bool) {
 	slices.SortStableFunc(list, func(a, b waiting) int {
 		return cmp.Or(
-			cmp.Compare(a.job.Rank(), b.job.Rank()),
+			cmp.Compare(a.rank, b.rank),
 			compareBool(b.starve, a.starve),
 			compareBool(b.within, a.within),
 			compareBool(a.aged != agedFirst, b.aged != agedFirst),
@@ -139,7 +140,7 @@
 		if now < p.backoff || h.nextOpen(j, p) < 0 {
 			continue
 		}
-		w := waiting{job: j, prog: p, within: within}
+		w := waiting{job: j, prog: p, within: within, rank: n.cache.EffectiveRank(j)}
 		w.rate(j.Tasks-p.doneN, p.attempts > 0 || p.doneN > 0, n.Settings.Cluster.Objectives, nowMS)
 		p.starved = p.starved || w.starve
 		list = append(list, w)
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -8,7 +8,9 @@
 
 // mayStop reports whether work may be stopped to make room for a waiting job.
 func (h *holder) mayStop(w waiting, a *attempt) bool {
-	if a.job.Rank() > w.job.Rank() {
+	// What waits has its own priority, what may be stopped the highest of those that
+	// need it: a cheap first stage of a pipeline stops nothing and isn't stopped.
+	if h.n.cache.EffectiveRank(a.job) > w.job.Rank() {
 		return true
 	}
 	// Guaranteed share comes before what another team has borrowed. A service is
