Pages that name a draining machine are written though its tasks ended before the drain

Cause: what ends on a machine that does not drain leaves its name to be removed at leisure, which never came while all writes were needed for new tasks; a drain that began afterwards waited for it.

--- a/internal/bookkeeping/pages.go
+++ b/internal/bookkeeping/pages.go
@@ -37,6 +37,16 @@
 	return 0
 }
 
+// PagesNaming lists the pages of a shard that name a machine.
+func (b *Cache) PagesNaming(shard int, m *Machine) (pages []int) {
+	for id, p := range b.intents {
+		if id.Shard == shard && slices.ContainsFunc(p.entries, func(e intent) bool { return e.m == m }) {
+			pages = append(pages, id.Page)
+		}
+	}
+	return pages
+}
+
 // IntentPages calls f for every page of intents of a shard with the number of
 // its entries.
 func (b *Cache) IntentPages(shard int, f func(page, entries int)) {
--- a/internal/coordination/attempt.go
+++ b/internal/coordination/attempt.go
@@ -82,6 +82,7 @@
 	again            bool // and another is wanted
 	noCommandsBefore time.Duration
 	pushed           time.Duration
+	namesWrittenAt   time.Duration // when pages that name it were last looked for
 
 	// A machine whose reports arrive may be one that no answer reaches. Where
 	// its reports give reason to think so, it is answered under a higher token,
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -214,6 +214,11 @@
 		return
 	}
 	h.drainCheckAt = now + drainCheckEvery
+	for _, x := range h.list {
+		if x.m.Phase == bookkeeping.PhaseDrain {
+			h.writers[x.shard].writeFor(x)
+		}
+	}
 	wanted := slices.ContainsFunc(h.list, func(x *holding) bool {
 		return x.notice > 0 || x.m.Phase == bookkeeping.PhaseDrain && x.services > 0
 	})
--- a/internal/coordination/record_size_test.go
+++ b/internal/coordination/record_size_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"time"
 
 	"rockrun/internal/bookkeeping"
 	"rockrun/internal/protocol"
@@ -47,6 +48,31 @@
 	}
 }
 
+// TestDrainedMachineLosesItsNames: a task had ended before its machine began to drain,
+// and its name was to be removed at leisure. That never came while all writes were
+// needed for new tasks: sixty machines drained for minutes, and as no more may drain
+// at a time the whole fleet stayed rented (repechage-next, simulated).
+func TestDrainedMachineLosesItsNames(t *testing.T) {
+	b := grownBench(t)
+	x := b.n.hold.machines[grownMachine(17)]
+	b.n.hold.end(x.attempts[refs(x.attempts)[0]], "stopped")
+	x.m.Phase = bookkeeping.PhaseDrain
+	for range 20 {
+		b.now += time.Second
+		b.fresh()
+		b.n.budget.rate, b.n.budget.level, b.n.budget.at = 2.5, 1, b.now // never more than half of what there may be
+		b.n.hold.stopForDrains()
+		b.n.hold.writers[0].flush()
+		b.carryOut()
+	}
+	if len(x.m.Intents) > 0 {
+		t.Error("the machine is still named")
+	}
+	if note := b.n.hold.notes()[17]; note.Name != x.m.Name || note.Tasks > 0 {
+		t.Errorf("%+v", note)
+	}
+}
+
 // TestNewTasksAreWrittenFirst: where there are writes for one page only, it is the one
 // that new tasks wait for, not one of the many that drained machines have left to be
 // cleaned up.
--- a/internal/coordination/record_writer.go
+++ b/internal/coordination/record_writer.go
@@ -33,6 +33,7 @@
 	flushPause = 40 * time.Millisecond
 	doneAfter  = time.Second
 	staleAfter = 2 * time.Second
+	namesEvery = 2 * time.Second // between two looks for the pages that name a machine which drains
 
 	mostChanges = 4
 	looseness   = 3 // pages for each that the entries would fill
@@ -220,6 +221,21 @@
 	return slices.ContainsFunc(d.pages, func(p *intentPage) bool { return p.named[x] })
 }
 
+// writeFor sees to it that pages which still name a machine that drains, and on which
+// nothing is left, are written soon. What ended there before the drain began left its
+// name to be removed at leisure, which may be never while all writes are needed for new
+// tasks.
+func (d *recordWriter) writeFor(x *holding) {
+	now := d.h.n.now()
+	if len(x.attempts) > 0 || len(x.m.Intents) == 0 || now < x.namesWrittenAt+namesEvery {
+		return
+	}
+	x.namesWrittenAt = now
+	for _, k := range d.h.n.cache.PagesNaming(d.shard, x.m) {
+		d.intentPageAt(k).dirty = true
+	}
+}
+
 // settle forgets what writes may have named once the cache shows how they ended.
 func (d *recordWriter) settle(p *intentPage) {
 	n := d.h.n
