--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -297,6 +297,11 @@
 			h.push(x)
 		}
 	}
+	for s := range n.shards {
+		if d := h.writers[s]; d != nil {
+			d.flushSoon()
+		}
+	}
 	if now >= h.summaryAt {
 		h.summaryAt = now + summaryEvery
 		for s := range n.shards {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -38,6 +38,7 @@
 	promised := map[*holding]*room{} // room that stops under way will leave
 	placed := false
 	var failed []*bookkeeping.Job // jobs for which there is no place; larger ones of their kind need not look
+	var unaided []waiting         // jobs for which nothing can be stopped
 	for _, w := range list {
 		if w.job.Kind == protocol.KindGang {
 			h.placeGang(machines, w, promised, now)
@@ -69,7 +70,11 @@
 				}
 			}
 			// Each waiting task is promised room once.
-			if promises++; promises > open || !h.mayMakeRoom(w) || !h.makeRoom(w, promised, now) {
+			if promises++; promises > open || !h.mayMakeRoom(w) || slices.ContainsFunc(unaided, w.stopsNoMore) {
+				break
+			}
+			if !h.makeRoom(w, promised, now) {
+				unaided = append(unaided, w)
 				break
 			}
 			machines = slices.DeleteFunc(machines, func(x *holding) bool { return promised[x] != nil })
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -46,6 +46,14 @@
 	return false
 }
 
+// stopsNoMore reports whether what may be stopped for w may be stopped for another job
+// too, and a place for w would do for it. Looking costs a look at everything that runs,
+// so where it was in vain for one job it is left out for those like it.
+func (w waiting) stopsNoMore(other waiting) bool {
+	return harder(w.job, other.job) && w.job.Rank() >= other.job.Rank() && !w.job.Spread && !other.job.Spread && !other.job.OneZone &&
+		(!w.within || other.within && w.job.TeamIdx == other.job.TeamIdx)
+}
+
 // makeRoom stops the least work that lets one task of a job start; false when
 // nothing can be done.
 func (h *holder) makeRoom(w waiting, promised map[*holding]*room, now time.Duration) bool {
--- a/internal/coordination/record_batch.go
+++ b/internal/coordination/record_batch.go
@@ -46,7 +46,7 @@
 		if p.dirtyAt == 0 && n.cache.StaleDone(p.id) {
 			p.dirtyAt = now
 		}
-		if len(b.txn.Then) >= most || !p.idle(n) || p.dirtyAt == 0 || now-p.dirtyAt <= doneAfter || !d.writableDone(p) {
+		if len(b.txn.Then) >= most || !p.idle(n) || !d.doneDue(p, now) || !d.writableDone(p) {
 			continue
 		}
 		if op, any := d.completedTasks(p); any {
@@ -62,6 +62,24 @@
 	return b
 }
 
+// doneDue reports whether a page of completed tasks is to be written now. They stay on
+// their machines' lists until it is, where the next holder finds them, and a job that
+// is over needs no page of them: so while writes are short these wait longer. Where
+// each page was written every second, they took as many writes as new tasks did.
+func (d *recordWriter) doneDue(p *donePage, now time.Duration) bool {
+	if p.dirtyAt == 0 {
+		return false
+	}
+	waited := now - p.dirtyAt
+	return waited > doneLatest || waited > doneAfter && d.spareWrites()
+}
+
+// spareWrites reports whether there are writes beyond those that new tasks need.
+func (d *recordWriter) spareWrites() bool {
+	budget := &d.h.n.budget
+	return budget.level > budget.rate/2
+}
+
 // duePages lists the pages of intents that are to be written, those with most new
 // tasks first. Every drained machine makes a page due as well; written in turn, a few
 // dozen of those would keep new tasks waiting for seconds while machines stand idle.
@@ -79,8 +97,7 @@
 // due reports whether a page of intents is to be written now.
 func (d *recordWriter) due(p *intentPage, now time.Duration) bool {
 	n := d.h.n
-	spare := n.budget.level > n.budget.rate/2 // removals alone wait until others need no writes
-	stale := p.dirtyAt > 0 && spare && now-p.dirtyAt > staleAfter
+	stale := p.dirtyAt > 0 && d.spareWrites() && now-p.dirtyAt > staleAfter
 	return p.idle(n) && (p.dirty || stale) && (len(p.attempts) > 0 || n.cache.IntentVersion(p.id) != 0)
 }
 
@@ -111,4 +128,14 @@
 		}
 	}
 	h.schedulePass()
+	// A pass over a large fleet takes long, and what is to be written need not wait
+	// for the next.
+	n.later(flushPause, d.flushSoon)
+}
+
+// flushSoon writes what is due outside of a pass.
+func (d *recordWriter) flushSoon() {
+	if d.h.writers[d.shard] == d && d.h.n.hold == d.h && d.h.n.entitled(d.shard) {
+		d.flush()
+	}
 }
--- a/internal/coordination/record_writer.go
+++ b/internal/coordination/record_writer.go
@@ -32,6 +32,7 @@
 const (
 	flushPause = 40 * time.Millisecond
 	doneAfter  = time.Second
+	doneLatest = 6 * time.Second // while all writes are needed for new tasks
 	staleAfter = 2 * time.Second
 	namesEvery = 2 * time.Second // between two looks for the pages that name a machine which drains
 
