Compatibility: rows known by name only are left out of the comparison

The reader printed rows of jobs that this version knows only as what another job waits for; production has none. It showed once a needed job had left the records before its dependants did. No information is passed over: what has a record in either version is still printed.

--- a/internal/compatibility/reader/main.go
+++ b/internal/compatibility/reader/main.go
@@ -79,6 +79,9 @@
 	}
 	printSorted(func(add func(string)) {
 		c.Jobs.All(func(_ int, j *bookkeeping.Job) {
+			if knownByNameOnly(j) {
+				return
+			}
 			add(fmt.Sprintln("job", j.ID, j.Class, j.Team, j.Kind, j.Priority, j.Tasks, j.CPUs, j.GPUs, j.MemoryGB, j.Image, j.ImageGB, j.Types, j.Zone,
 				j.OneZone, j.Spread, j.Spot, j.EstimateS, j.CheckpointS, j.SaveS, j.DeadlineS, j.Version, j.AtMS, j.Home, j.Done, j.DoneN, j.Open(), j.Running()))
 		})
@@ -95,6 +98,14 @@
 	})
 }
 
+// knownByNameOnly reports whether a row has no record, no named task and no completed
+// one behind it. This version keeps such rows for jobs that others wait for, which the
+// older one doesn't know of; nothing is lost by leaving them out, as a job that one
+// version has and the other has not is still printed by the first.
+func knownByNameOnly(j *bookkeeping.Job) bool {
+	return j.Over() && len(j.Intended) == 0 && j.DoneN == 0
+}
+
 func printSorted(collect func(add func(string))) {
 	var lines []string
 	collect(func(line string) { lines = append(lines, line) })
