Gauges of waiting jobs and of oversized values are counted

Both were exported and never set. They are counted every ten seconds, of what the controller's own homes and, on the leader, the blocks hold.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -96,6 +96,7 @@
 	finals      map[string]bookkeeping.FinalRecord
 	budget      bucket
 	limits      config.StateLimits // that writes keep to
+	writeRate   float64            // puts and removals a second of all controllers together, as it is taken now
 
 	readPause time.Duration // between two reads of the changes; twice that between two that questions ask for
 
@@ -143,7 +144,8 @@
 	// All controllers together read with a quarter of the requests allowed.
 	n.limits = c.Settings.Cluster.State.Limits()
 	n.readPause = max(20*time.Millisecond, time.Duration(4*float64(len(n.nodes))/n.limits.RequestRate*float64(time.Second)))
-	n.budget = newBucket(n.limits.WriteRate / 4)
+	n.writeRate = n.limits.WriteRateNow
+	n.budget = newBucket(n.writeRate / 4)
 	return n
 }
 
@@ -262,6 +264,7 @@
 	n.writeLiveness()
 	n.sendCancellations()
 	n.outcomes.want()
+	n.refreshGauges()
 	n.electionTick()
 	if n.lead != nil {
 		n.lead.tick()
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -97,7 +97,7 @@
 		func(s coordination.Stats) uint64 { return s.Released })
 	counter("rockrun_jobs_cancelled_with_another_total", "Jobs of the controller's homes that were cancelled with one that they need.",
 		func(s coordination.Stats) uint64 { return s.CancelledWith })
-	gauge("rockrun_jobs_waiting", "Unfinished jobs that wait for others.",
+	gauge("rockrun_jobs_waiting", "Unfinished jobs of the controller's homes that wait for others.",
 		func(s coordination.Stats) int64 { return s.Waiting })
 	gauge("rockrun_oversized_values", "Values the controller writes that are over the limit in force and not yet split.",
 		func(s coordination.Stats) int64 { return s.Oversized })
