--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -22,20 +22,17 @@
 
 // StateLimits are the limits that requests to the state service keep to.
 type StateLimits struct {
-	RequestRate  float64 // requests a second of all controllers together
-	WriteRate    float64 // puts and removals a second of all controllers together
-	WriteRateNow float64 // the same by today's limits
-	ValueBytes   int     // of one value
-	Changes      int     // puts and removals in a transaction
-	Conditions   int     // conditions in a transaction
+	RequestRate float64 // requests a second of all controllers together
+	WriteRate   float64 // puts and removals a second of all controllers together
+	ValueBytes  int     // of one value
+	Changes     int     // puts and removals in a transaction
+	Conditions  int     // conditions in a transaction
 }
 
 // Limits are the limits in force: the lower ones of today's and those to come. The
 // change comes without notice and a larger value is refused from then on, so every
-// value written has to fit before. Only the rate of writes may stay as it is until the
-// service refuses one as too many: that one was not carried out and may be repeated.
+// value written has to fit before.
 func (s State) Limits() StateLimits {
-	rateNow := s.WriteRPS
 	if next := s.Next; next != nil {
 		s.RPS = lower(s.RPS, next.RPS)
 		s.WriteRPS = lower(s.WriteRPS, next.WriteRPS)
@@ -43,12 +40,11 @@
 		s.TxnOps = lower(s.TxnOps, next.TxnOps)
 	}
 	return StateLimits{
-		RequestRate:  s.RPS,
-		WriteRate:    s.WriteRPS,
-		WriteRateNow: rateNow,
-		ValueBytes:   int(s.ValueKB * 1024),
-		Changes:      s.TxnOps,
-		Conditions:   ConditionsPerChange * s.TxnOps,
+		RequestRate: s.RPS,
+		WriteRate:   s.WriteRPS,
+		ValueBytes:  int(s.ValueKB * 1024),
+		Changes:     s.TxnOps,
+		Conditions:  ConditionsPerChange * s.TxnOps,
 	}
 }
 
--- a/internal/coordination/budget.go
+++ b/internal/coordination/budget.go
@@ -22,7 +22,7 @@
 			part += 0.1 / float64(n.cache.Homes-1)
 		}
 	}
-	n.budget.rate = max(1, part*n.writeRate)
+	n.budget.rate = max(1, part*n.limits.WriteRate)
 }
 
 // bucket is this process's part of the writes all controllers share.
--- a/internal/coordination/limits.go
+++ b/internal/coordination/limits.go
@@ -34,23 +34,10 @@
 			n.Log.Error("transaction rejected", "changes", len(t.Then), "largest_value", largestValue(t), "err", err,
 				"value_bytes", n.limits.ValueBytes, "txn_changes", n.limits.Changes)
 		}
-		if errors.Is(err, protocol.ErrTooMany) {
-			n.lowerWriteRate()
-		}
 		done(revision, err)
 	})
 }
 
-// lowerWriteRate takes it from a refusal that the lower rate of writes may be in force.
-func (n *Node) lowerWriteRate() {
-	if n.writeRate <= n.limits.WriteRate {
-		return
-	}
-	n.Log.Info("rate of writes lowered", "from", n.writeRate, "to", n.limits.WriteRate)
-	n.writeRate = n.limits.WriteRate
-	n.setWriteBudget()
-}
-
 func largestValue(t protocol.Txn) int {
 	largest := 0
 	for _, op := range t.Then {
