--- a/cmd/rockrun/main.go
+++ b/cmd/rockrun/main.go
@@ -23,7 +23,7 @@
 	"rockrun/internal/transport"
 )
 
-const version = "0.1.0"
+const version = "0.2.0"
 
 type cli struct {
 	Config  string           `help:"Platform settings (TOML)." placeholder:"FILE" required:""`
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -96,7 +96,6 @@
 	finals      map[string]bookkeeping.FinalRecord
 	budget      bucket
 	limits      config.StateLimits // that writes keep to
-	writeRate   float64            // puts and removals a second of all controllers together, as it is taken now
 
 	readPause time.Duration // between two reads of the changes; twice that between two that questions ask for
 
@@ -144,8 +143,7 @@
 	// All controllers together read with a quarter of the requests allowed.
 	n.limits = c.Settings.Cluster.State.Limits()
 	n.readPause = max(20*time.Millisecond, time.Duration(4*float64(len(n.nodes))/n.limits.RequestRate*float64(time.Second)))
-	n.writeRate = n.limits.WriteRateNow
-	n.budget = newBucket(n.writeRate / 4)
+	n.budget = newBucket(n.limits.WriteRate / 4)
 	return n
 }
 
--- a/internal/coordination/oversized_test.go
+++ b/internal/coordination/oversized_test.go
@@ -248,38 +248,6 @@
 	}
 }
 
-// refusing is a state service that answers every transaction with an error.
-type refusing struct {
-	*bench
-	err error
-}
-
-func (r refusing) Txn(_ protocol.Txn, done func(uint64, error)) { done(0, r.err) }
-
-// TestWriteRateFollowsRefusals: the rate to come is not kept to before a write was
-// refused as too many, and always after it, by whatever role the controller has.
-func TestWriteRateFollowsRefusals(t *testing.T) {
-	b := newBench(t)
-	b.n.limits.WriteRate = 40
-	b.n.setWriteBudget()
-	before := b.n.budget.rate
-	for _, err := range []error{protocol.ErrConflict, protocol.ErrNotDone, protocol.ErrRejected} {
-		b.n.State = refusing{b, err}
-		b.n.txn(protocol.Txn{}, func(uint64, error) {})
-	}
-	if b.n.budget.rate != before {
-		t.Errorf("%v writes a second after other errors, not %v", b.n.budget.rate, before)
-	}
-	b.n.State = refusing{b, protocol.ErrTooMany}
-	for range 2 {
-		b.n.txn(protocol.Txn{}, func(uint64, error) {})
-		b.n.setWriteBudget()
-		if got, want := b.n.budget.rate, before*0.4; got < 0.999*want || got > 1.001*want {
-			t.Errorf("%v writes a second after a refusal, not %v", got, want)
-		}
-	}
-}
-
 // TestGauges: pages and blocks over the limit and jobs that wait for others are counted,
 // and not counted any more once they are written smaller, or done.
 func TestGauges(t *testing.T) {
