--- a/cmd/rockrun/main.go
+++ b/cmd/rockrun/main.go
@@ -31,7 +31,7 @@
 	Version kong.VersionFlag `help:"Print the version."`
 
 	Serve serveCmd `cmd:"" default:"1" help:"Serve (the default)."`
-	Check checkCmd `cmd:"" help:"Check both files without serving."`
+	Check checkCmd `cmd:"" help:"Check both files without serving, show the limits in force and warn of small ones."`
 }
 
 type serveCmd struct{}
@@ -59,11 +59,14 @@
 	if err != nil {
 		return err
 	}
-	for _, w := range s.Warnings() {
+	for _, w := range s.Warnings(o) {
 		fmt.Printf("warning: %s: %s\n", w.Field, w.Why)
 	}
 	fmt.Printf("ok: node %s of %d, %d teams, block lease %s\n",
 		s.Node, len(s.Siblings)+1, len(s.Cluster.Teams), o.BlockLease(s.Cluster.Workers))
+	limits := s.Cluster.State.Limits()
+	fmt.Printf("limits in force: %g requests and %g writes a second, values of %d bytes, %d changes a transaction\n",
+		limits.RequestRate, limits.WriteRate, limits.ValueBytes, limits.Changes)
 	return nil
 }
 
@@ -95,8 +98,8 @@
 		limit = 4096
 	}
 	sockets := transport.SplitSockets(limit, len(s.Siblings))
-	for _, w := range s.Warnings() {
-		log.Warn("small machine", "field", w.Field, "why", w.Why)
+	for _, w := range s.Warnings(o) {
+		log.Warn("limit likely to be too small", "field", w.Field, "why", w.Why)
 	}
 	outside := transport.NewClient(sockets.State, sockets.State+sockets.Cloud, 20*time.Second)
 	// Tasks follow one another on a machine every quarter of a minute or so, and a
--- a/deploy/options.hcl
+++ b/deploy/options.hcl
@@ -12,6 +12,9 @@
 # Machines never given back, and machines at most (0 and 1 to 100000).
 fleet_min = 0
 fleet_max = 10000
+# Machines that are expected at once, for the warnings of "rockrun check" and of the
+# log; 0 is not said (0 to 100000).
+fleet_expected = 0
 # Cloud calls for rentals a cycle at most; 0 makes it two, or six tenths of what
 # the cloud allows in a second where that is more (0 to 20).
 calls_per_cycle = 0
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -12,19 +12,20 @@
 
 // Options are the operators' own settings. Times are in seconds.
 type Options struct {
-	CycleS       float64 // between two looks of the sizer at the fleet
-	RentWindowS  float64 // how long work is blocked before machines are rented
-	GiveWindowS  float64 // how long the cheapest kind of machine is idle enough before it drains; less for dearer ones
-	GiveBelow    float64 // booked share below which a machine may be given back
-	FleetMin     int     // machines never given back
-	FleetMax     int     // machines at most
-	RentPatience float64 // boot times of a new machine that arrays wait for the machines there are
-	ServiceSpare int     // replicas of each kind of running service for which room is kept
-	CallsPerTurn int     // cloud calls for rentals a cycle at most; 0: derived from what the cloud allows
-	BootPatience float64 // multiples of a type's boot time after which a boot counts as failed
-	BlockLeaseS  float64 // a holder's lease on its machines; 0: derived from the workers' lease
-	Homes        int     // shards among which the work is split; 0: derived from the number of controllers
-	SilentS      float64 // silence after which a machine is given up while it is listed as running; 0: derived
+	CycleS        float64 // between two looks of the sizer at the fleet
+	RentWindowS   float64 // how long work is blocked before machines are rented
+	GiveWindowS   float64 // how long the cheapest kind of machine is idle enough before it drains; less for dearer ones
+	GiveBelow     float64 // booked share below which a machine may be given back
+	FleetMin      int     // machines never given back
+	FleetMax      int     // machines at most
+	FleetExpected int     // machines that operators expect at once, for warnings only; 0: not said
+	RentPatience  float64 // boot times of a new machine that arrays wait for the machines there are
+	ServiceSpare  int     // replicas of each kind of running service for which room is kept
+	CallsPerTurn  int     // cloud calls for rentals a cycle at most; 0: derived from what the cloud allows
+	BootPatience  float64 // multiples of a type's boot time after which a boot counts as failed
+	BlockLeaseS   float64 // a holder's lease on its machines; 0: derived from the workers' lease
+	Homes         int     // shards among which the work is split; 0: derived from the number of controllers
+	SilentS       float64 // silence after which a machine is given up while it is listed as running; 0: derived
 }
 
 // DefaultOptions are used where the operators' file says nothing.
@@ -51,6 +52,7 @@
 		{"give_below", 0, 1, false, func(o *Options, v float64) { o.GiveBelow = v }},
 		{"fleet_min", 0, 100000, true, func(o *Options, v float64) { o.FleetMin = int(v) }},
 		{"fleet_max", 1, 100000, true, func(o *Options, v float64) { o.FleetMax = int(v) }},
+		{"fleet_expected", 0, 100000, true, func(o *Options, v float64) { o.FleetExpected = int(v) }},
 		{"calls_per_cycle", 0, 20, true, func(o *Options, v float64) { o.CallsPerTurn = int(v) }},
 		{"boot_patience", 1.5, 20, false, func(o *Options, v float64) { o.BootPatience = v }},
 		{"rent_patience", 0, 20, false, func(o *Options, v float64) { o.RentPatience = v }},
--- a/internal/config/warnings_test.go
+++ b/internal/config/warnings_test.go
@@ -4,25 +4,35 @@
 
 // TestWarnings: each limit that is too small is named, and none that is not.
 func TestWarnings(t *testing.T) {
+	const cores, sockets, memory = "cluster.limits.cores", "cluster.limits.fd_limit", "cluster.limits.mem_mb"
+	const value, txn, writes = "cluster.state.value_kb", "cluster.state.txn_ops", "cluster.state.write_rps"
+	lowerValue, lowerTxn := 1.5, 3
+	state := State{RPS: 200, WriteRPS: 15, ValueKB: 2, TxnOps: 4}
 	for name, c := range map[string]struct {
 		limits Limits
+		state  State
+		fleet  int
 		fields []string
 	}{
-		"none given":        {Limits{}, nil},
-		"enough":            {Limits{Cores: 0.06, MemoryMB: 81, Sockets: 1500}, nil},
-		"few cores":         {Limits{Cores: 0.02, MemoryMB: 81, Sockets: 1500}, []string{"cluster.limits.cores"}},
-		"few sockets":       {Limits{Cores: 1, MemoryMB: 81, Sockets: 100}, []string{"cluster.limits.fd_limit"}},
-		"memory by sockets": {Limits{Cores: 1, MemoryMB: 60, Sockets: 1500}, []string{"cluster.limits.mem_mb"}},
-		"all":               {Limits{Cores: 0.01, MemoryMB: 10, Sockets: 10}, []string{"cluster.limits.cores", "cluster.limits.fd_limit", "cluster.limits.mem_mb"}},
+		"none given":        {fields: nil},
+		"enough":            {limits: Limits{Cores: 0.06, MemoryMB: 81, Sockets: 1500}, state: state, fleet: 1400},
+		"few cores":         {limits: Limits{Cores: 0.02, MemoryMB: 81, Sockets: 1500}, fields: []string{cores}},
+		"few sockets":       {limits: Limits{Cores: 1, MemoryMB: 81, Sockets: 100}, fields: []string{sockets}},
+		"sockets by fleet":  {limits: Limits{Sockets: 1500}, fleet: 4000, fields: []string{sockets}},
+		"memory by sockets": {limits: Limits{Cores: 1, MemoryMB: 60, Sockets: 1500}, fields: []string{memory}},
+		"memory by fleet":   {limits: Limits{MemoryMB: 200, Sockets: 5000}, fleet: 4000, fields: []string{memory}},
+		"all of a machine":  {limits: Limits{Cores: 0.01, MemoryMB: 10, Sockets: 10}, fields: []string{cores, sockets, memory}},
+		"small later":       {state: State{RPS: 200, WriteRPS: 20, ValueKB: 4, TxnOps: 8, Next: &Next{ValueKB: &lowerValue, TxnOps: &lowerTxn}}, fields: []string{value, txn}},
+		"writes by fleet":   {state: state, fleet: 4000, fields: []string{writes}},
 	} {
-		got := (&Settings{Cluster: Cluster{Limits: c.limits}}).Warnings()
+		got := (&Settings{Cluster: Cluster{Limits: c.limits, State: c.state}}).Warnings(Options{FleetExpected: c.fleet})
 		if len(got) != len(c.fields) {
 			t.Errorf("%s: %v", name, got)
 			continue
 		}
 		for i, field := range c.fields {
 			if got[i].Field != field || got[i].Why == "" {
-				t.Errorf("%s: %v", name, got[i])
+				t.Errorf("%s: %v", name, got)
 			}
 		}
 	}
