Attempt numbers of a grant can't run out; more cancellation notices are kept

24 bits of attempt numbers last 46 hours at 100 tasks a second under one grant; beyond them a later attempt looked like an earlier one. A holder that has used them up starts over under another grant. Notices to a controller out of reach: 4,096 instead of 256.

--- a/internal/coordination/cancellations.go
+++ b/internal/coordination/cancellations.go
@@ -14,8 +14,9 @@
 // is always safe, whoever may hold the machines by now.
 
 // mostNotices bounds what is kept for a controller that can't be reached: when it
-// is back it has the records, or the bound has done its work.
-const mostNotices = 256
+// is back it has the records, or the bound has done its work. It is several for each
+// second of the longest cancel_s that a cluster was run with.
+const mostNotices = 4096
 
 // cancellationNotices are cancellations that a controller has not been told of yet.
 type cancellationNotices struct {
--- a/internal/coordination/holder_test.go
+++ b/internal/coordination/holder_test.go
@@ -439,3 +439,22 @@
 		t.Error("leads on without tokens")
 	}
 }
+
+// TestLastTry: attempt numbers of one grant rise up to the last; a holder that has used
+// them up starts over instead of beginning anew below those that the records name, where
+// an attempt that is over would be taken for the later one.
+func TestLastTry(t *testing.T) {
+	b := newBench(t)
+	b.n.hold.tries = lastTry - 1
+	before, last := b.n.incarnation, b.n.hold.nextTry(b.holding())
+	if last>>counterShift != grantToken>>counterShift || last&(1<<counterShift-1) != lastTry {
+		t.Errorf("attempt %x under grant %x", last, uint64(grantToken))
+	}
+	b.n.tick()
+	if b.n.incarnation <= before || b.n.ready || b.n.hold.tries != 0 {
+		t.Errorf("incarnation %d after %d, ready %v, %d tries", b.n.incarnation, before, b.n.ready, b.n.hold.tries)
+	}
+	if b.n.holds(0) {
+		t.Error("it still holds what its former incarnation was granted")
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -258,6 +258,11 @@
 	if !n.ready {
 		return
 	}
+	if n.hold.tries >= lastTry {
+		n.Log.Warn("attempt numbers used up, starting over")
+		n.begin()
+		return
+	}
 	n.setWriteBudget()
 	n.writeLiveness()
 	n.sendCancellations()
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -152,6 +152,10 @@
 	return list
 }
 
+// lastTry is how far the counter of attempts may go: a holder that has used it up
+// starts over under another grant (see Node.tick). More than a tick can use is left.
+const lastTry = 1<<counterShift - 1<<16
+
 // nextTry returns an attempt number above every earlier one: the grant's token
 // in the high bits, a counter of this holder's in the low ones.
 func (h *holder) nextTry(x *holding) uint64 {
