--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -65,13 +65,12 @@
 
 // grownBench is a node that holds a grown fleet, every machine of which has
 // reported its running task.
-func grownBench(tb testing.TB) *bench {
-	b := newBench(tb)
-	b.n.Settings.Cluster.Teams[0].CPUsMax = 0
-	b.n.cache.Teams[0].CPUsMax = 0
-	grownRecords(grownMachines, b.apply)
-	b.n.changed(true)
-	for i := range grownMachines {
+func grownBench(tb testing.TB) *bench { return benchOf(tb, grownMachines) }
+
+// benchOf is the same with so many machines.
+func benchOf(tb testing.TB, machines int) *bench {
+	b := unheardBench(tb, machines)
+	for i := range machines {
 		b.n.OnReport(grownReport(i, 1), func(a Answer) {
 			if a.Status != 200 {
 				tb.Fatalf("status %d: %v", a.Status, a.Body)
@@ -79,12 +78,23 @@
 		})
 	}
 	b.n.hold.pass()
-	if n := len(b.n.hold.placed); n < grownMachines {
+	if n := len(b.n.hold.placed); n < machines {
 		tb.Fatalf("%d tasks are placed", n)
 	}
 	return b
 }
 
+// unheardBench is a node that has just been granted a fleet, no machine of which has
+// reported to it.
+func unheardBench(tb testing.TB, machines int) *bench {
+	b := newBench(tb)
+	b.n.Settings.Cluster.Teams[0].CPUsMax = 0
+	b.n.cache.Teams[0].CPUsMax = 0
+	grownRecords(machines, b.apply)
+	b.n.changed(true)
+	return b
+}
+
 // waitingJob adds a job for whose tasks there is no room.
 func (b *bench) waitingJob() {
 	b.apply(bookkeeping.JobKey("run-999999"), bookkeeping.JobRecord{Spec: protocol.Spec{
@@ -163,13 +173,15 @@
 // TestPassAllocations: a pass that finds nothing to do allocates nothing that grows
 // with the fleet, whether work waits or not.
 func TestPassAllocations(t *testing.T) {
-	b := grownBench(t)
-	if n := testing.AllocsPerRun(20, b.n.hold.pass); n > 16 {
-		t.Errorf("%v allocations for a pass with nothing to place", n)
-	}
-	b.waitingJob()
-	if n := testing.AllocsPerRun(20, b.n.hold.pass); n > 64 {
-		t.Errorf("%v allocations for a pass with work that finds no room", n)
+	for _, machines := range []int{grownMachines, fleetMachines} {
+		b := benchOf(t, machines)
+		if n := testing.AllocsPerRun(20, b.n.hold.pass); n > 16 {
+			t.Errorf("%d machines: %v allocations for a pass with nothing to place", machines, n)
+		}
+		b.waitingJob()
+		if n := testing.AllocsPerRun(20, b.n.hold.pass); n > 64 {
+			t.Errorf("%d machines: %v allocations for a pass with work that finds no room", machines, n)
+		}
 	}
 }
 
@@ -180,7 +192,7 @@
 		mostLive  = 1500 // bytes
 		mostTaken = 6000 // allocated while reading, garbage included
 	)
-	for _, machines := range []int{grownMachines, grownMachines * 3 / 2} {
+	for _, machines := range []int{grownMachines, grownMachines * 3 / 2, fleetMachines} {
 		type record struct {
 			key   string
 			value []byte
@@ -215,14 +227,17 @@
 
 // TestHeartbeatSize bounds what a holder tells the leader about each machine.
 func TestHeartbeatSize(t *testing.T) {
-	b := grownBench(t)
-	b.now += 2 * time.Second
-	var link bytes.Buffer
-	if err := gob.NewEncoder(&link).Encode(b.n.hold.notes()); err != nil {
-		t.Fatal(err)
-	}
-	if n := link.Len() / grownMachines; n > 32 {
-		t.Errorf("%d bytes for each machine", n)
+	for _, machines := range []int{grownMachines, fleetMachines} {
+		b := benchOf(t, machines)
+		b.now += 2 * time.Second
+		var link bytes.Buffer
+		if err := gob.NewEncoder(&link).Encode(b.n.hold.notes()); err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%d machines: %d bytes", machines, link.Len())
+		if n := link.Len() / machines; n > 32 {
+			t.Errorf("%d machines: %d bytes for each", machines, n)
+		}
 	}
 }
 
