Long functions are split: ends of jobs, cancellations, pages, demands, settings, start of a controller

No change of behaviour. The two changes that end a job stood in three places (endOps); spares kept a table that nothing read.

--- a/cmd/rockrun/main.go
+++ b/cmd/rockrun/main.go
@@ -5,22 +5,15 @@
 import (
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strings"
-	"syscall"
-	"time"
 
 	"github.com/alecthomas/kong"
 
 	"rockrun/internal/config"
-	"rockrun/internal/coordination"
-	"rockrun/internal/protocol"
-	"rockrun/internal/transport"
 )
 
 const version = "0.2.0"
@@ -92,66 +85,12 @@
 		return fmt.Errorf("listen for controllers: %w", err)
 	}
 
-	loop := transport.NewLoop()
-	limit := s.Cluster.Limits.Sockets
-	if limit == 0 {
-		limit = 4096
-	}
-	sockets := transport.SplitSockets(limit, len(s.Siblings))
 	for _, w := range s.Warnings(o) {
 		log.Warn("limit likely to be too small", "field", w.Field, "why", w.Why)
 	}
-	outside := transport.NewClient(sockets.State, sockets.State+sockets.Cloud, 20*time.Second)
-	// Tasks follow one another on a machine every quarter of a minute or so, and a
-	// connection made anew costs three times the command itself. Above three
-	// quarters of their part of the sockets connections are closed at once.
-	toWorkers := transport.NewClient(2, sockets.Workers, 20*time.Second)
-	limiter := transport.NewLimiter(4, 200)
-	metrics := transport.NewMetrics(limiter)
-	metrics.Connections("workers", toWorkers)
-	metrics.Connections("services", outside)
-	metrics.Limits(s.Cluster.Limits.Cores, s.Cluster.Limits.MemoryMB)
-	back := transport.NewBackend(loop, sockets, metrics,
-		&protocol.StateClient{HTTP: outside, Addr: s.External.State, Timeout: 2 * time.Second},
-		&protocol.CloudClient{HTTP: outside, Addr: s.External.Cloud, Timeout: 5 * time.Second},
-		&protocol.WorkerClient{HTTP: toWorkers, Timeout: 2 * time.Second})
-	addrs := map[string]string{}
-	for _, p := range s.Siblings {
-		addrs[p.Node] = p.Address
-	}
-	node := coordination.New(coordination.Config{
-		Settings: s, Options: o, Clock: loop, Log: log,
-		State: transport.StateCalls{Backend: back}, Cloud: transport.CloudCalls{Backend: back},
-		Workers: transport.WorkerCalls{Backend: back}, Peers: transport.NewPeerCalls(loop, addrs),
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	})
-	metrics.Node(node.Stats)
-	server := transport.NewServer(loop, node, limiter, metrics, sockets.Public)
-
-	go loop.Run()
-	loop.Post(node.Start)
-	go transport.ServePeers(peer, sockets.Peers, loop, node.OnPeer, log)
-
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(public) }()
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	select {
-	case err := <-ended:
-		return fmt.Errorf("serve: %w", err)
-	case <-stop:
-	}
-	log.Info("ending")
-	gone := make(chan struct{})
-	loop.Post(func() { node.Stop(func() { close(gone) }) })
-	select {
-	case <-gone:
-	case <-time.After(3 * time.Second):
-	}
-	err = server.Shutdown(3 * time.Second)
-	peer.Close()
-	loop.Close()
-	return err
+	node := newController(s, o, log)
+	node.start(peer, log)
+	return node.serveUntilStopped(public, peer, log)
 }
 
 func logger() *slog.Logger {
--- a/internal/bookkeeping/pages.go
+++ b/internal/bookkeeping/pages.go
@@ -85,67 +85,91 @@
 // in between. An intent can outlive its job, and a job of which only intents are
 // known counts as over.
 func (b *Cache) setIntents(id PageID, r IntentPage, version uint64) error {
-	var next []intent
+	next, err := b.readIntents(r)
+	if err != nil {
+		return err
+	}
+	for _, e := range next {
+		b.addIntent(e, id.Page)
+	}
+	old := b.intents[id]
+	b.intents[id] = &pageOf[intent]{version, next}
+	if old == nil {
+		return nil
+	}
+	for _, e := range old.entries {
+		b.removeIntent(e)
+	}
+	return nil
+}
+
+// readIntents reads the entries of a page. Its heads say of jobs that are not known
+// otherwise what their tasks take, and of whose quota.
+func (b *Cache) readIntents(r IntentPage) (list []intent, err error) {
 	for _, name := range slices.Sorted(maps.Keys(r)) {
-		entries := r[name]
 		if !protocol.ValidJobID(name) {
-			return fmt.Errorf("intents of %q", name)
+			return nil, fmt.Errorf("intents of %q", name)
 		}
-		for _, e := range entries {
+		for _, e := range r[name] {
 			if strings.HasPrefix(e, headMark) {
-				team, amounts, err := splitHead(e)
-				if err != nil {
-					return err
-				}
-				if j := b.job(name); j.Over() && j.TeamIdx < 0 {
-					j.Team, j.TeamIdx = team, b.TeamNames.Lookup(team)
-					j.CPUs, j.GPUs, j.MemoryGB = amounts[0], amounts[1], amounts[2]
+				if err := b.readHead(name, e); err != nil {
+					return nil, err
 				}
 				continue
 			}
 			task, machine, try, err := splitIntent(e)
 			if err != nil {
-				return err
+				return nil, err
 			}
-			next = append(next, intent{b.machine(machine), TaskRef{b.job(name).Index, task}, try})
+			list = append(list, intent{b.machine(machine), TaskRef{b.job(name).Index, task}, try})
 		}
 	}
-	for _, e := range next {
-		b.Jobs.Get(e.ref.Job).intend(e.ref.Task, 1)
-		// A page that is left to empty can name an attempt long after it is over, and
-		// be read after the one that names the next at the same task there. Attempts
-		// rise, so the higher one is the one that may be running: taken for the other,
-		// its task would be started a second time.
-		i := e.m.Intents[e.ref]
-		if i.Try > e.try {
-			continue
-		}
-		if i.Try != e.try {
-			i = Intent{Try: e.try}
-		}
-		i.Page = id.Page
-		i.count++
-		e.m.Intents[e.ref] = i
+	return list, nil
+}
+
+func (b *Cache) readHead(name, head string) error {
+	team, amounts, err := splitHead(head)
+	if err != nil {
+		return err
 	}
-	old := b.intents[id]
-	b.intents[id] = &pageOf[intent]{version, next}
-	if old == nil {
-		return nil
+	if j := b.job(name); j.Over() && j.TeamIdx < 0 {
+		j.Team, j.TeamIdx = team, b.TeamNames.Lookup(team)
+		j.CPUs, j.GPUs, j.MemoryGB = amounts[0], amounts[1], amounts[2]
 	}
-	for _, e := range old.entries {
-		j := b.Jobs.Get(e.ref.Job)
-		j.intend(e.ref.Task, -1)
-		if i := e.m.Intents[e.ref]; i.Try == e.try {
-			if i.count--; i.count <= 0 {
-				delete(e.m.Intents, e.ref)
-				b.dropMachine(e.m)
-			} else {
-				e.m.Intents[e.ref] = i
-			}
+	return nil
+}
+
+// addIntent counts an entry of a page. A page that is left to empty can name an attempt
+// long after it is over, and be read after the one that names the next at the same task
+// there. Attempts rise, so the higher one is the one that may be running: taken for the
+// other, its task would be started a second time.
+func (b *Cache) addIntent(e intent, page int) {
+	b.Jobs.Get(e.ref.Job).intend(e.ref.Task, 1)
+	i := e.m.Intents[e.ref]
+	if i.Try > e.try {
+		return
+	}
+	if i.Try != e.try {
+		i = Intent{Try: e.try}
+	}
+	i.Page = page
+	i.count++
+	e.m.Intents[e.ref] = i
+}
+
+// removeIntent takes back an entry of a page that was replaced.
+func (b *Cache) removeIntent(e intent) {
+	j := b.Jobs.Get(e.ref.Job)
+	j.intend(e.ref.Task, -1)
+	if i := e.m.Intents[e.ref]; i.Try == e.try {
+		if i.count--; i.count <= 0 {
+			delete(e.m.Intents, e.ref)
+			b.dropMachine(e.m)
+		} else {
+			e.m.Intents[e.ref] = i
 		}
-		b.DropJob(j)
 	}
-	return nil
+	b.DropJob(j)
 }
 
 // setDone replaces a page of completed tasks. Records are read in the order of
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -134,67 +133,53 @@
 }
 
 func (s *Settings) check() error {
-	var faults []error
-	fault := func(field, what string) { faults = append(faults, fmt.Errorf("%s: %s", field, what)) }
-	addr := func(field, v string) {
-		if v == "" {
-			fault(field, "missing")
-		} else if _, err := netip.ParseAddrPort(v); err != nil {
-			fault(field, "not an IP address and port")
-		}
+	var found faults
+	s.checkNode(&found)
+	s.checkTeams(&found)
+	workers := s.Cluster.Workers
+	found.positive("cluster.workers.report_s", workers.ReportS)
+	found.positive("cluster.workers.lease_s", workers.LeaseS)
+	found.positive("cluster.workers.cancel_s", workers.CancelS)
+	if workers.CancelS > 0 && workers.CancelS <= workers.LeaseS {
+		found.add("cluster.workers.cancel_s", "must exceed lease_s")
 	}
-	positive := func(field string, v float64) {
-		if !(v > 0) {
-			fault(field, "missing or not above 0")
-		}
+	found = append(found, s.Cluster.State.check()...)
+	found.positive("cluster.cloud.rps", s.Cluster.Cloud.RPS)
+	if s.Cluster.Limits.MemoryMB < 0 || s.Cluster.Limits.Sockets < 0 {
+		found.add("cluster.limits", "below 0")
 	}
+	return errors.Join(found...)
+}
+
+// checkNode checks this controller's own addresses and the other controllers.
+func (s *Settings) checkNode(found *faults) {
 	if s.Node == "" {
-		fault("node_name", "missing")
+		found.add("node_name", missing)
 	}
-	addr("public_addr", s.PublicAddr)
-	addr("peer_bind", s.PeerAddr)
-	addr("external.cloud", s.External.Cloud)
-	addr("external.state", s.External.State)
+	found.address("public_addr", s.PublicAddr)
+	found.address("peer_bind", s.PeerAddr)
+	found.address("external.cloud", s.External.Cloud)
+	found.address("external.state", s.External.State)
 	seen := map[string]bool{s.Node: true}
 	for i, p := range s.Siblings {
 		field := fmt.Sprintf("siblings[%d].", i)
-		if p.Node == "" {
-			fault(field+"node_name", "missing")
-		} else if seen[p.Node] {
-			fault(field+"node_name", "given twice")
-		}
-		seen[p.Node] = true
-		addr(field+"address", p.Address)
+		found.unique(field+"node_name", p.Node, seen)
+		found.address(field+"address", p.Address)
 	}
+}
+
+func (s *Settings) checkTeams(found *faults) {
 	if len(s.Cluster.Teams) == 0 {
-		fault("cluster.teams", "missing")
+		found.add("cluster.teams", missing)
 	}
-	teams := map[string]bool{}
+	seen := map[string]bool{}
 	for i, t := range s.Cluster.Teams {
 		field := fmt.Sprintf("cluster.teams[%d].", i)
-		if t.Name == "" {
-			fault(field+"name", "missing")
-		} else if teams[t.Name] {
-			fault(field+"name", "given twice")
-		}
-		teams[t.Name] = true
+		found.unique(field+"name", t.Name, seen)
 		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
-			fault(field+"cpus", "below 0")
+			found.add(field+"cpus", "below 0")
 		}
 	}
-	w := s.Cluster.Workers
-	positive("cluster.workers.report_s", w.ReportS)
-	positive("cluster.workers.lease_s", w.LeaseS)
-	positive("cluster.workers.cancel_s", w.CancelS)
-	if w.CancelS > 0 && w.CancelS <= w.LeaseS {
-		fault("cluster.workers.cancel_s", "must exceed lease_s")
-	}
-	faults = append(faults, s.Cluster.State.check()...)
-	positive("cluster.cloud.rps", s.Cluster.Cloud.RPS)
-	if s.Cluster.Limits.MemoryMB < 0 || s.Cluster.Limits.Sockets < 0 {
-		fault("cluster.limits", "below 0")
-	}
-	return errors.Join(faults...)
 }
 
 // Margin is what the time budgets of leases leave at most for answers on their
--- a/internal/coordination/completion.go
+++ b/internal/coordination/completion.go
@@ -42,61 +42,83 @@
 	x.unexpected = nil
 }
 
+// endOps are the changes that end a job: its record leaves what controllers follow and
+// its final one is written, in one transaction under the version of the first, so only
+// one end can ever happen.
+func endOps(id string, f bookkeeping.FinalRecord) []protocol.Op {
+	return []protocol.Op{
+		{Delete: bookkeeping.JobKey(id)},
+		{Put: bookkeeping.FinalKey(id), Value: bookkeeping.Encode(f)},
+	}
+}
+
+// maxFinishing bounds the ends of jobs under way: with answers in half a second, sixteen
+// jobs end each second.
 const maxFinishing = 8
 
 // finish makes jobs durable whose tasks are all done, and lets completed
 // attempts leave their machines once that is.
 func (h *holder) finish() {
-	n := h.n
-	now := n.now()
 	h.ending = slices.DeleteFunc(h.ending, func(p *progress) bool {
-		j := p.job
-		if j.Over() || h.jobs[j] != p {
+		if p.job.Over() || h.jobs[p.job] != p {
 			return true
 		}
-		if p.writing || n.revision < p.wroteAt || now < p.retryAt || !n.entitled(j.Home) || h.finishing >= maxFinishing {
-			return false
+		if h.mayFinish(p) {
+			h.finishJob(p)
 		}
-		// Users wait for it, and there are few jobs beside tasks.
-		n.budget.force(now, 2)
-		p.writing = true
-		h.finishing++
-		f := bookkeeping.FinalRecord{Stage: protocol.StageDone, Done: j.Tasks, AtMS: n.Clock.Wall().UnixMilli()}
-		n.txn(protocol.Txn{
-			If: []protocol.Cond{
-				{Key: bookkeeping.JobKey(j.ID), Version: j.Version},
-				{Key: bookkeeping.GrantKey(j.Home), Version: n.cache.Grants[j.Home].Version},
-			},
-			Then: []protocol.Op{
-				{Delete: bookkeeping.JobKey(j.ID)},
-				{Put: bookkeeping.FinalKey(j.ID), Value: bookkeeping.Encode(f)},
-			},
-		}, func(revision uint64, err error) {
-			p.writing = false
-			h.finishing--
-			if n.hold != h {
-				return
-			}
-			if err != nil {
-				n.Log.Debug("completed job not written", "job", j.ID, "err", err)
-				p.retryAt = n.now() + n.jitter(retryPause/2)
-				return
-			}
-			p.wroteAt = revision
-			n.remember(j.ID, f)
-			n.Log.Debug("job done", "job", j.ID)
-		})
 		return false
 	})
-	h.ended = slices.DeleteFunc(h.ended, func(a *attempt) bool {
-		if h.machines[a.on.m.Name] != a.on || a.on.attempts[a.ref()] != a {
-			return true
+	h.ended = slices.DeleteFunc(h.ended, h.releaseCompleted)
+}
+
+// mayFinish reports whether the end of a job may be written now.
+func (h *holder) mayFinish(p *progress) bool {
+	n := h.n
+	return !p.writing && n.revision >= p.wroteAt && n.now() >= p.retryAt && n.entitled(p.job.Home) && h.finishing < maxFinishing
+}
+
+// finishJob writes that a job is done. Users wait for it and there are few jobs beside
+// tasks, so it doesn't wait for a write to be to spare.
+func (h *holder) finishJob(p *progress) {
+	n := h.n
+	j := p.job
+	n.budget.force(n.now(), 2)
+	p.writing = true
+	h.finishing++
+	f := bookkeeping.FinalRecord{Stage: protocol.StageDone, Done: j.Tasks, AtMS: n.Clock.Wall().UnixMilli()}
+	n.txn(protocol.Txn{
+		If: []protocol.Cond{
+			{Key: bookkeeping.JobKey(j.ID), Version: j.Version},
+			{Key: bookkeeping.GrantKey(j.Home), Version: n.cache.Grants[j.Home].Version},
+		},
+		Then: endOps(j.ID, f),
+	}, func(revision uint64, err error) {
+		p.writing = false
+		h.finishing--
+		if n.hold != h {
+			return
 		}
-		if !a.job.Over() && !a.job.Done.Has(a.task) {
-			return false
+		if err != nil {
+			n.Log.Debug("completed job not written", "job", j.ID, "err", err)
+			p.retryAt = n.now() + n.jitter(retryPause/2)
+			return
 		}
-		h.remove(a)
-		a.on.busy = true // it can be reaped
-		return true
+		p.wroteAt = revision
+		n.remember(j.ID, f)
+		n.Log.Debug("job done", "job", j.ID)
 	})
 }
+
+// releaseCompleted lets a completed attempt leave its machine once its completion is
+// durable, and reports whether it need not be looked at any more.
+func (h *holder) releaseCompleted(a *attempt) bool {
+	if h.machines[a.on.m.Name] != a.on || a.on.attempts[a.ref()] != a {
+		return true
+	}
+	if !a.job.Over() && !a.job.Done.Has(a.task) {
+		return false
+	}
+	h.remove(a)
+	a.on.busy = true // it can be reaped
+	return true
+}
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -40,8 +40,6 @@
 	n := l.n
 	var out []demand
 	nowMS := n.Clock.Wall().UnixMilli()
-	arrived := map[*bookkeeping.Job]*[arrivalBins]int{}
-	var bins []*[arrivalBins]int
 	n.cache.Jobs.All(func(_ int, j *bookkeeping.Job) {
 		if j.Runnable() && j.Standing() && j.Home >= 0 {
 			out = append(out, demand{job: j, shard: j.Home, count: 1})
@@ -49,39 +47,20 @@
 	})
 	slices.SortFunc(out, func(a, b demand) int { return cmp.Compare(a.job.ID, b.job.ID) })
 	shapes := gather(out)
-	for i := range shapes {
-		b := &[arrivalBins]int{}
-		bins = append(bins, b)
-		arrived[shapes[i].job] = b
-	}
-	at := map[shape]*[arrivalBins]int{}
-	for i := range shapes {
-		at[shapeOf(shapes[i])] = bins[i]
+	arrived := map[shape]*[arrivalBins]int{}
+	for _, d := range shapes {
+		arrived[shapeOf(d)] = &[arrivalBins]int{}
 	}
 	for _, d := range out {
 		if age := (nowMS - d.job.ReadyMS()) / arrivalBin.Milliseconds(); age >= 0 && age < arrivalBins {
-			at[shapeOf(d)][age] += d.job.Tasks
+			arrived[shapeOf(d)][age] += d.job.Tasks
 		}
 	}
 	for i := range shapes {
 		d := &shapes[i]
-		d.count = max(min(d.count, n.Options.ServiceSpare), l.coming(d.job, bins[i]))
+		d.count = max(min(d.count, n.Options.ServiceSpare), l.coming(d.job, arrived[shapeOf(*d)]))
 	}
-	for _, x := range list {
-		if !x.doubtful {
-			continue
-		}
-		for _, ref := range refs(x.m.Intents) {
-			if j := n.cache.Jobs.Get(ref.Job); !j.Over() && j.Standing() && j.Home >= 0 {
-				d := demand{job: j, shard: j.Home, count: 1}
-				if l.fleet.cutOff[x.zone] {
-					d.lost = 1
-				}
-				shapes = append(shapes, d)
-			}
-		}
-	}
-	out = gather(shapes)
+	out = gather(append(shapes, l.doubtfulReplicas(list)...))
 	for i := range out {
 		// Services that are spread need their room in more than one zone.
 		out[i].spare = true
@@ -95,6 +74,27 @@
 	return out
 }
 
+// doubtfulReplicas lists the replicas on machines that fell silent.
+func (l *leadership) doubtfulReplicas(list []*supply) (out []demand) {
+	for _, x := range list {
+		if !x.doubtful {
+			continue
+		}
+		for _, ref := range refs(x.m.Intents) {
+			j := l.n.cache.Jobs.Get(ref.Job)
+			if j.Over() || !j.Standing() || j.Home < 0 {
+				continue
+			}
+			d := demand{job: j, shard: j.Home, count: 1}
+			if l.fleet.cutOff[x.zone] {
+				d.lost = 1
+			}
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // coming is how many replicas of a service's shape are likely to come while a
 // machine boots that could take them.
 func (l *leadership) coming(j *bookkeeping.Job, bins *[arrivalBins]int) int {
@@ -157,11 +157,31 @@
 // within the teams' limits.
 func (l *leadership) demands() []demand {
 	n := l.n
-	var list []waiting
-	used := make([]usage, len(n.cache.Teams))
+	list, used := l.runnable()
+	inZones := l.tasksInZones(list)
+	order(list, false)
+	var out []demand
+	for _, w := range list {
+		j := w.job
+		count := withinLimit(j, &n.cache.Teams[j.TeamIdx], &used[j.TeamIdx])
+		if count <= 0 {
+			continue
+		}
+		zones := inZones[j.Index]
+		for z, there := range zones {
+			zones[z] = zoneDemand(j, count, there)
+		}
+		out = append(out, demand{job: j, shard: j.Home, count: count, zones: zones})
+	}
+	return out
+}
+
+// runnable lists the jobs with tasks to place, and what each team uses already.
+func (l *leadership) runnable() (list []waiting, used []usage) {
+	n := l.n
+	used = make([]usage, len(n.cache.Teams))
 	nowMS := n.Clock.Wall().UnixMilli()
-	in := map[int][]int{} // tasks that may be in a zone, by job, of those waiting to which it matters
-	n.cache.Jobs.All(func(i int, j *bookkeeping.Job) {
+	n.cache.Jobs.All(func(_ int, j *bookkeeping.Job) {
 		if j.TeamIdx < 0 {
 			return
 		}
@@ -171,49 +191,59 @@
 			w := waiting{job: j, rank: n.cache.EffectiveRank(j)}
 			w.rate(j.Tasks-j.DoneN, j.Running() > 0 || j.DoneN > 0, n.Settings.Cluster.Objectives, nowMS)
 			list = append(list, w)
-			if j.Spread && j.Tasks > 1 || j.OneZone && j.Running() > 0 {
-				in[i] = make([]int, n.cache.ZoneNames.Len())
-			}
 		}
 	})
-	if len(in) > 0 {
-		n.cache.Machines.All(func(_ int, m *bookkeeping.Machine) {
-			for ref := range m.Intents {
-				if zones := in[ref.Job]; zones != nil {
-					zones[m.ZoneIdx]++
-				}
-			}
-		})
-	}
-	order(list, false)
-	var out []demand
+	return list, used
+}
+
+// tasksInZones counts, for each job of a list to which it matters, the tasks that may
+// be in each zone.
+func (l *leadership) tasksInZones(list []waiting) map[int][]int {
+	n := l.n
+	counts := map[int][]int{}
 	for _, w := range list {
-		j := w.job
-		t, u := &n.cache.Teams[j.TeamIdx], &used[j.TeamIdx]
-		count := j.Open()
-		for _, q := range [][3]float64{{u.cpus, j.CPUs, t.CPUsMax}, {u.gpus, j.GPUs, t.GPUsMax}} {
-			if q[2] > 0 && q[1] > 0 {
-				count = min(count, int((q[2]-q[0])/q[1]+1e-6))
-			}
+		if j := w.job; j.Spread && j.Tasks > 1 || j.OneZone && j.Running() > 0 {
+			counts[j.Index] = make([]int, n.cache.ZoneNames.Len())
 		}
-		if count <= 0 {
-			continue
-		}
-		u.cpus += float64(count) * j.CPUs
-		u.gpus += float64(count) * j.GPUs
-		zones := in[j.Index]
-		for z, there := range zones {
-			zones[z] = count
-			if j.Spread && j.Tasks > 1 {
-				zones[z] = max(0, (j.Tasks+1)/2-there)
-			}
-			// Tasks that share a zone can't use room in any other: counted as supply,
-			// or rented anew each time it is given back, they would never get theirs.
-			if j.OneZone && j.Running() > 0 && there == 0 {
-				zones[z] = 0
+	}
+	if len(counts) == 0 {
+		return counts
+	}
+	n.cache.Machines.All(func(_ int, m *bookkeeping.Machine) {
+		for ref := range m.Intents {
+			if zones := counts[ref.Job]; zones != nil {
+				zones[m.ZoneIdx]++
 			}
 		}
-		out = append(out, demand{job: j, shard: j.Home, count: count, zones: zones})
+	})
+	return counts
+}
+
+// withinLimit is how many of a job's open tasks the team's limit lets start, beside
+// what it uses; it is added to that.
+func withinLimit(j *bookkeeping.Job, t *bookkeeping.Team, used *usage) int {
+	count := j.Open()
+	for _, amount := range []struct{ used, each, limit float64 }{{used.cpus, j.CPUs, t.CPUsMax}, {used.gpus, j.GPUs, t.GPUsMax}} {
+		if amount.limit > 0 && amount.each > 0 {
+			count = min(count, int((amount.limit-amount.used)/amount.each+1e-6))
+		}
 	}
-	return out
+	if count > 0 {
+		used.cpus += float64(count) * j.CPUs
+		used.gpus += float64(count) * j.GPUs
+	}
+	return count
+}
+
+// zoneDemand is how many of a job's tasks may use room in a zone where some are already.
+func zoneDemand(j *bookkeeping.Job, count, there int) int {
+	// Tasks that share a zone can't use room in any other: counted as supply, or
+	// rented anew each time it is given back, they would never get theirs.
+	if j.OneZone && j.Running() > 0 && there == 0 {
+		return 0
+	}
+	if j.Spread && j.Tasks > 1 {
+		return max(0, (j.Tasks+1)/2-there)
+	}
+	return count
 }
--- a/internal/coordination/dependents.go
+++ b/internal/coordination/dependents.go
@@ -55,7 +55,7 @@
 	var t protocol.Txn
 	for _, j := range batch {
 		t.If = append(t.If, protocol.Cond{Key: bookkeeping.JobKey(j.ID), Version: j.Version})
-		t.Then = append(t.Then, protocol.Op{Delete: bookkeeping.JobKey(j.ID)}, protocol.Op{Put: bookkeeping.FinalKey(j.ID), Value: bookkeeping.Encode(f)})
+		t.Then = append(t.Then, endOps(j.ID, f)...)
 		w := h.dependentWrites[j]
 		if w == nil {
 			w = &dependentWrite{}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -293,58 +293,67 @@
 		reply(retryLater("starting"))
 		return
 	}
-	n.cancel(id, 3, reply)
+	n.cancel(id, cancelTries, reply)
 }
 
+// cancelTries is how often a cancellation is tried where the job changes meanwhile.
+const cancelTries = 3
+
 func (n *Node) cancel(id string, tries int, reply func(Answer)) {
 	if f, ok := n.finals[id]; ok {
 		reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: f.Stage}})
 		return
 	}
 	n.State.Get(bookkeeping.JobKey(id), func(it protocol.Item, found bool, err error) {
-		if err != nil {
+		switch {
+		case err != nil:
 			reply(retryLater("state service does not answer"))
-			return
+		case found:
+			n.cancelUnfinished(id, it.Version, tries, reply)
+		default:
+			n.answerCancelOfEnded(id, reply)
 		}
-		if !found {
-			n.lookup(id, func(v *protocol.View, err error) {
-				switch {
-				case err != nil:
-					reply(retryLater("state service does not answer"))
-				case v == nil:
-					reply(problem(http.StatusNotFound, "no such job"))
-				case v.Stage != protocol.StageDone && v.Stage != protocol.StageWithdrawn:
-					reply(retryLater("undecided"))
-				default:
-					// The transaction may have been another controller's that never
-					// heard how it ended.
-					if v.Stage == protocol.StageWithdrawn {
-						n.cancellationConfirmed(id)
-					}
-					reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: v.Stage}})
-				}
-			})
-			return
+	})
+}
+
+// cancelUnfinished ends a job under the version of its record.
+func (n *Node) cancelUnfinished(id string, version uint64, tries int, reply func(Answer)) {
+	f := bookkeeping.FinalRecord{Stage: protocol.StageWithdrawn, AtMS: n.Clock.Wall().UnixMilli()}
+	n.budget.force(n.now(), 2)
+	n.txn(protocol.Txn{
+		If:   []protocol.Cond{{Key: bookkeeping.JobKey(id), Version: version}},
+		Then: endOps(id, f),
+	}, func(_ uint64, err error) {
+		switch {
+		case err == nil:
+			n.remember(id, f)
+			n.cancellationConfirmed(id)
+			reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: f.Stage}})
+		case errors.Is(err, protocol.ErrConflict) && tries > 1:
+			n.cancel(id, tries-1, reply)
+		default:
+			reply(retryLater("state service does not answer"))
 		}
-		f := bookkeeping.FinalRecord{Stage: protocol.StageWithdrawn, AtMS: n.Clock.Wall().UnixMilli()}
-		n.budget.force(n.now(), 2)
-		n.txn(protocol.Txn{
-			If: []protocol.Cond{{Key: bookkeeping.JobKey(id), Version: it.Version}},
-			Then: []protocol.Op{
-				{Delete: bookkeeping.JobKey(id)},
-				{Put: bookkeeping.FinalKey(id), Value: bookkeeping.Encode(f)},
-			},
-		}, func(_ uint64, err error) {
-			switch {
-			case err == nil:
-				n.remember(id, f)
+	})
+}
+
+// answerCancelOfEnded answers a cancellation of a job that has no unfinished record.
+func (n *Node) answerCancelOfEnded(id string, reply func(Answer)) {
+	n.lookup(id, func(v *protocol.View, err error) {
+		switch {
+		case err != nil:
+			reply(retryLater("state service does not answer"))
+		case v == nil:
+			reply(problem(http.StatusNotFound, "no such job"))
+		case v.Stage != protocol.StageDone && v.Stage != protocol.StageWithdrawn:
+			reply(retryLater("undecided"))
+		default:
+			// The transaction may have been another controller's that never heard how
+			// it ended.
+			if v.Stage == protocol.StageWithdrawn {
 				n.cancellationConfirmed(id)
-				reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: f.Stage}})
-			case errors.Is(err, protocol.ErrConflict) && tries > 1:
-				n.cancel(id, tries-1, reply)
-			default:
-				reply(retryLater("state service does not answer"))
 			}
-		})
+			reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: v.Stage}})
+		}
 	})
 }
