--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -13,72 +13,106 @@
 // services, the least booked first. Within a home such work stops other work;
 // among homes the other work is let end, and nothing new begins there.
 func (f *fleet) claim(list []*supply) {
-	n := f.l.n
-	s := &sizing{types: n.cache.Types, fits: n.cache.Fits}
-	var rooms []*supply // what claimed machines will offer, filled as the demands are gone through
-	room := func(m *bookkeeping.Machine, shard int) *supply {
-		x := newSupply(&n.cache.Types[m.TypeIdx], pool{m.TypeIdx, m.ZoneIdx, m.Spot}, shard)
-		x.m = m
-		return x
-	}
-	// What replicas wait for is taken now, what is kept for those to come may end.
-	urgent := map[*bookkeeping.Machine]bool{}
-	fill := func(x *supply, d *demand) {
-		before := d.count
-		s.fill(x, d)
-		if d.count < before && (!d.spare || d.lost > 0) {
-			urgent[x.m] = true
+	c := f.newClaimRound(list)
+	for _, d := range f.left {
+		if d.job.Standing() && !f.asking(d) {
+			c.serve(d)
 		}
 	}
-	var begin []*bookkeeping.Machine // drains to be written
-	defer func() {
-		for _, x := range rooms {
-			if slices.Contains(begin, x.m) {
-				f.change(change{m: x.m, phase: bookkeeping.PhaseDrain, why: "claimed by work of a higher rank", yield: urgent[x.m]})
-			} else if urgent[x.m] && x.m.Phase == bookkeeping.PhaseDrain && !x.m.Yield && !f.pending(x.m) {
-				f.change(change{m: x.m, phase: bookkeeping.PhaseDrain, why: "replicas wait for it", stamp: x.m.Drain, yield: true})
-			}
-		}
-	}()
+	c.write()
+}
+
+// claimRound is one look at the work for which machines of other homes are claimed.
+type claimRound struct {
+	f      *fleet
+	sizing *sizing
+	list   []*supply
+	sorted bool                          // the list, by what is booked
+	rooms  []*supply                     // what claimed machines will offer, filled as the demands are gone through
+	begin  []*bookkeeping.Machine        // drains to be written
+	urgent map[*bookkeeping.Machine]bool // replicas wait for these now; others are for those to come
+}
+
+// newClaimRound begins with the machines that are claimed already.
+func (f *fleet) newClaimRound(list []*supply) *claimRound {
+	n := f.l.n
+	c := &claimRound{f: f, sizing: &sizing{types: n.cache.Types, fits: n.cache.Fits}, list: list, urgent: map[*bookkeeping.Machine]bool{}}
 	for _, name := range slices.Sorted(maps.Keys(f.claims)) {
 		_, m := n.cache.Machines.Find(name)
 		if m == nil || m.Phase == bookkeeping.PhaseReturning || !m.There() || m.Shard == f.claims[name] {
 			delete(f.claims, name)
 			continue
 		}
-		rooms = append(rooms, room(m, f.claims[name]))
+		c.addRoom(m, f.claims[name])
 		if m.Phase == bookkeeping.PhaseActive && !f.pending(m) {
-			begin = append(begin, m) // not written yet
+			c.begin = append(c.begin, m) // not written yet
 		}
 	}
-	var sorted []*supply
-	for i := range f.left {
-		d := f.left[i]
-		if !d.job.Standing() || f.asking(d) {
-			continue
-		}
-		d.zones = slices.Clone(d.zones)
-		for _, x := range rooms {
-			fill(x, &d)
+	return c
+}
+
+// addRoom takes in what a claimed machine will offer to a home.
+func (c *claimRound) addRoom(m *bookkeeping.Machine, shard int) *supply {
+	x := newSupply(&c.f.l.n.cache.Types[m.TypeIdx], pool{m.TypeIdx, m.ZoneIdx, m.Spot}, shard)
+	x.m = m
+	c.rooms = append(c.rooms, x)
+	return x
+}
+
+// fill gives room to a demand. What replicas wait for is taken now, what is kept for
+// those to come may end.
+func (c *claimRound) fill(x *supply, d *demand) {
+	before := d.count
+	c.sizing.fill(x, d)
+	if d.count < before && (!d.spare || d.lost > 0) {
+		c.urgent[x.m] = true
+	}
+}
+
+// serve claims machines for a demand, beyond those that are claimed already.
+func (c *claimRound) serve(d demand) {
+	f := c.f
+	d.zones = slices.Clone(d.zones)
+	for _, x := range c.rooms {
+		c.fill(x, &d)
+	}
+	if d.count > 0 && !c.sorted {
+		types := f.l.n.cache.Types
+		c.list = slices.SortedStableFunc(slices.Values(c.list), func(a, b *supply) int {
+			return cmp.Compare(a.booked(types), b.booked(types))
+		})
+		c.sorted = true
+	}
+	for _, x := range c.list {
+		if d.count <= 0 {
+			return
 		}
-		if d.count > 0 && sorted == nil {
-			sorted = slices.SortedStableFunc(slices.Values(list), func(a, b *supply) int {
-				return cmp.Compare(a.booked(n.cache.Types), b.booked(n.cache.Types))
-			})
+		if !c.claimable(x, &d) {
+			continue
 		}
-		for _, x := range sorted {
-			if d.count <= 0 {
-				break
-			}
-			if _, claimed := f.claims[x.m.Name]; claimed || x.shard == d.shard || x.service || !x.ready || !x.taking || d.zone(x.zone) < 1 ||
-				!n.cache.Suits(d.job, x.m) || f.pending(x.m) || f.l.outranks(x.m, d.job) {
-				continue
-			}
-			f.claims[x.m.Name] = d.shard
-			n.Log.Info("machine claimed", "name", x.m.Name, "from", x.shard, "for", d.shard, "term", f.l.term)
-			begin = append(begin, x.m)
-			rooms = append(rooms, room(x.m, d.shard))
-			fill(rooms[len(rooms)-1], &d)
+		f.claims[x.m.Name] = d.shard
+		f.l.n.Log.Info("machine claimed", "name", x.m.Name, "from", x.shard, "for", d.shard, "term", f.l.term)
+		c.begin = append(c.begin, x.m)
+		c.fill(c.addRoom(x.m, d.shard), &d)
+	}
+}
+
+// claimable reports whether a machine may be claimed for a demand of another home.
+func (c *claimRound) claimable(x *supply, d *demand) bool {
+	f := c.f
+	if _, claimed := f.claims[x.m.Name]; claimed || x.shard == d.shard || x.service || !x.ready || !x.taking || d.zone(x.zone) < 1 {
+		return false
+	}
+	return f.l.n.cache.Suits(d.job, x.m) && !f.pending(x.m) && !f.l.outranks(x.m, d.job)
+}
+
+// write drains what was claimed, and hurries what replicas have begun to wait for.
+func (c *claimRound) write() {
+	for _, x := range c.rooms {
+		if slices.Contains(c.begin, x.m) {
+			c.f.change(change{m: x.m, phase: bookkeeping.PhaseDrain, why: "claimed by work of a higher rank", yield: c.urgent[x.m]})
+		} else if c.urgent[x.m] && x.m.Phase == bookkeeping.PhaseDrain && !x.m.Yield && !c.f.pending(x.m) {
+			c.f.change(change{m: x.m, phase: bookkeeping.PhaseDrain, why: "replicas wait for it", stamp: x.m.Drain, yield: true})
 		}
 	}
 }
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -37,22 +37,7 @@
 	if !x.fenced || !h.n.entitled(x.shard) {
 		return h.stopCommands(x)
 	}
-	cmds := []protocol.Command{}
-	now := h.n.now()
-	zero := 0.0
-	reaps := false
-	extras := x.unexpected
-	if !x.reapDue(now) && !h.startable(x) {
-		extras = nil
-	}
-	for _, t := range extras {
-		if t.State == protocol.TaskEnded {
-			reaps = true
-			cmds = append(cmds, protocol.Command{Verb: protocol.VerbReap, Task: t.Task, Attempt: t.Attempt})
-		} else {
-			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
-		}
-	}
+	cmds, reaps := h.commandsForUnexpected(x)
 	// After a reap the worker has forgotten the attempt, and a start of it that
 	// was repeated or held back on the way would run it again. So a reap always
 	// goes out under a higher token than any start before it.
@@ -67,32 +52,62 @@
 		return cmp.Or(compareBool(b.stop, a.stop), cmp.Compare(a.planned, b.planned), cmp.Compare(a.job.Index, b.job.Index), cmp.Compare(a.task, b.task))
 	})
 	for _, a := range list {
-		name := protocol.TaskName(a.job.ID, a.task)
-		switch {
-		case !a.live():
-		case a.stop:
-			if a.state == taskPlanned && a.token == 0 {
-				h.end(a, "not started") // no start was ever sent
-				continue
-			}
-			if a.state == taskPlanned && a.token >= x.token {
-				x.token = a.token + 1 // so that its absence will prove something
-			}
-			g := a.grace
-			a.stopSentAt = now
-			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: name, Attempt: a.try, GraceS: &g})
-		case a.state == taskPlanned && a.durable() && a.job.Wanted() && !a.inherited:
-			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStart, Task: name, Attempt: a.try})
-			if a.token == 0 {
-				a.sentAt = now
-			}
-			a.token, a.session = x.token, x.session
-			x.sent = x.token
+		if c, needed := h.commandFor(x, a); needed {
+			cmds = append(cmds, c)
 		}
 	}
 	return cmds
 }
 
+// commandsForUnexpected are the commands for what is on a machine and nobody asked for
+// any more; reaps is whether anything that has ended is to be forgotten.
+func (h *holder) commandsForUnexpected(x *holding) (cmds []protocol.Command, reaps bool) {
+	cmds = []protocol.Command{}
+	if !x.reapDue(h.n.now()) && !h.startable(x) {
+		return cmds, false
+	}
+	atOnce := 0.0
+	for _, t := range x.unexpected {
+		if t.State == protocol.TaskEnded {
+			reaps = true
+			cmds = append(cmds, protocol.Command{Verb: protocol.VerbReap, Task: t.Task, Attempt: t.Attempt})
+		} else {
+			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: &atOnce})
+		}
+	}
+	return cmds, reaps
+}
+
+// commandFor is the command that an attempt on a machine needs, if any. One that is to
+// stop and was never told to start ends here.
+func (h *holder) commandFor(x *holding, a *attempt) (c protocol.Command, needed bool) {
+	now := h.n.now()
+	name := protocol.TaskName(a.job.ID, a.task)
+	switch {
+	case !a.live():
+		return c, false
+	case a.stop:
+		if a.state == taskPlanned && a.token == 0 {
+			h.end(a, "not started") // no start was ever sent
+			return c, false
+		}
+		if a.state == taskPlanned && a.token >= x.token {
+			x.token = a.token + 1 // so that its absence will prove something
+		}
+		grace := a.grace
+		a.stopSentAt = now
+		return protocol.Command{Verb: protocol.VerbStop, Task: name, Attempt: a.try, GraceS: &grace}, true
+	case a.state == taskPlanned && a.durable() && a.job.Wanted() && !a.inherited:
+		if a.token == 0 {
+			a.sentAt = now
+		}
+		a.token, a.session = x.token, x.session
+		x.sent = x.token
+		return protocol.Command{Verb: protocol.VerbStart, Task: name, Attempt: a.try}, true
+	}
+	return c, false
+}
+
 // Completed tasks stay on their machine's list until they are reaped. Each reap is
 // a change that the worker reports at once, so they wait for a command that goes
 // there anyway, for company, or for so long.
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -257,17 +257,7 @@
 	for _, d := range s.demands {
 		blocked += d.count
 	}
-	// Rentals that are not in the records yet are supply as well.
-	for _, a := range f.asks {
-		for range a.Count {
-			list = append(list, f.promised(a.Type, a.Zone, a.Spot, a.shard))
-		}
-	}
-	for _, b := range f.fresh {
-		for range b.rec.Machines {
-			list = append(list, f.promised(b.rec.Type, b.rec.Zone, b.rec.Spot, b.rec.Shard))
-		}
-	}
+	list = append(list, f.unrecorded()...)
 	s.supply = list
 	s.sole = l.sole()
 	s.count = map[pool]int{}
@@ -285,12 +275,7 @@
 	}
 	if held(len(left) > 0, &f.blockedSince, now, f.rent) {
 		for _, r := range s.plan(left) {
-			f.asked++
-			a := &ask{shard: r.shard, Rent: protocol.Rent{
-				Request: fmt.Sprintf("r-%d-%d-%d", l.term, n.incarnation, f.asked),
-				Type:    n.cache.TypeNames.Name(r.typ), Zone: n.cache.ZoneNames.Name(r.zone), Spot: r.spot, Count: r.count,
-			}}
-			f.asks = append(f.asks, a)
+			a := f.ask(r)
 			f.note(Decision{Action: "rent", Reason: "work is blocked", Blocked: blocked, Booked: share, Fleet: len(list), Count: r.count,
 				Pool: fmt.Sprintf("%s/%s/spot=%t", a.Type, a.Zone, a.Spot)})
 		}
@@ -301,6 +286,33 @@
 	f.target(now, list)
 }
 
+// unrecorded lists rentals that are not in the records yet: they are supply as well.
+func (f *fleet) unrecorded() (list []*supply) {
+	for _, a := range f.asks {
+		for range a.Count {
+			list = append(list, f.promised(a.Type, a.Zone, a.Spot, a.shard))
+		}
+	}
+	for _, b := range f.fresh {
+		for range b.rec.Machines {
+			list = append(list, f.promised(b.rec.Type, b.rec.Zone, b.rec.Spot, b.rec.Shard))
+		}
+	}
+	return list
+}
+
+// ask begins a rental under a name that is never used for another.
+func (f *fleet) ask(r rent) *ask {
+	n := f.l.n
+	f.asked++
+	a := &ask{shard: r.shard, Rent: protocol.Rent{
+		Request: fmt.Sprintf("r-%d-%d-%d", f.l.term, n.incarnation, f.asked),
+		Type:    n.cache.TypeNames.Name(r.typ), Zone: n.cache.ZoneNames.Name(r.zone), Spot: r.spot, Count: r.count,
+	}}
+	f.asks = append(f.asks, a)
+	return a
+}
+
 // target stores the fleet's size with the term that set it and the machines
 // that drain, so that the next leader carries on from there.
 func (f *fleet) target(now time.Duration, list []*supply) {
--- a/internal/coordination/fleet_size_test.go
+++ b/internal/coordination/fleet_size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"rockrun/internal/bookkeeping"
 	"rockrun/internal/protocol"
@@ -125,3 +126,20 @@
 		t.Errorf("%d pages to write for %d tasks", pages, placed)
 	}
 }
+
+// TestListPause: lists of thousands of machines leave half of the cloud's calls to
+// rentals and returns; those of small fleets come as often as before.
+func TestListPause(t *testing.T) {
+	for _, c := range []struct {
+		machines       int
+		callsPerSecond float64
+		want           time.Duration
+	}{
+		{0, 4, listEvery}, {1450, 4, listEvery}, {2050, 10, listEvery},
+		{fleetMachines, 4, 4500 * time.Millisecond}, {fleetMachines, 1, 18 * time.Second},
+	} {
+		if got := listPause(c.machines, c.callsPerSecond); got != c.want {
+			t.Errorf("%d machines, %g calls a second: %s, not %s", c.machines, c.callsPerSecond, got, c.want)
+		}
+	}
+}
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -57,61 +57,69 @@
 // makeRoom stops the least work that lets one task of a job start; false when
 // nothing can be done.
 func (h *holder) makeRoom(w waiting, promised map[*holding]*room, now time.Duration) bool {
-	var best *holding
-	var victims []*attempt
-	var left room // on the best, with its victims gone
-	bestCost := 0.0
+	var best *eviction
 	for _, x := range h.list {
 		if !h.usable(x, now) || !h.allowed(x, w.job, w.prog) {
 			continue
 		}
-		r := h.free(x)
-		if p := promised[x]; p != nil {
-			r = *p
-		} else {
-			for _, a := range x.attempts {
-				if a.live() && a.stop {
-					r.leave(a.job)
-				}
-			}
-		}
-		var list []*attempt
-		for _, a := range x.attempts {
-			if a.live() && !a.stop && h.mayStop(w, a) {
-				list = append(list, a)
-			}
-		}
-		slices.SortFunc(list, func(a, b *attempt) int {
-			return cmp.Or(cmp.Compare(b.job.Rank(), a.job.Rank()), cmp.Compare(b.planned, a.planned), cmp.Compare(a.try, b.try), cmp.Compare(a.task, b.task))
-		})
-		cost := 0.0
-		var chosen []*attempt
-		for _, a := range list {
-			if r.fits(w.job) {
-				break
-			}
-			r.leave(a.job)
-			cost += 1 + a.job.CPUs*(now-a.planned).Seconds()
-			chosen = append(chosen, a)
-		}
-		if !r.fits(w.job) {
-			continue
-		}
-		if best == nil || cost < bestCost {
-			best, victims, left, bestCost = x, chosen, r, cost
+		if e := h.evictionOn(x, w, promised[x], now); e != nil && (best == nil || e.cost < best.cost) {
+			best = e
 		}
 	}
 	if best == nil {
 		return false
 	}
-	for _, a := range victims {
-		a.stop, a.stopSentAt, best.busy = true, 0, true
+	for _, a := range best.victims {
+		a.stop, a.stopSentAt, best.on.busy = true, 0, true
 		if a.job.CheckpointS > 0 {
 			a.grace = a.job.SaveS
 		}
-		h.n.Log.Info("preempt", "job", a.job.ID, "task", a.task, "machine", best.m.Name, "for", w.job.ID)
+		h.n.Log.Info("preempt", "job", a.job.ID, "task", a.task, "machine", best.on.m.Name, "for", w.job.ID)
 	}
-	left.take(w.job)
-	promised[best] = &left
+	best.left.take(w.job)
+	promised[best.on] = &best.left
 	return true
 }
+
+// eviction is what would have to be stopped on a machine for a waiting task.
+type eviction struct {
+	on      *holding
+	victims []*attempt
+	left    room // on the machine, with the victims gone
+	cost    float64
+}
+
+// evictionOn works out what must be stopped on a machine so that a task fits, or nil
+// where that is not enough. promised is the room that stops under way will leave there,
+// after what it was promised to; nil where it was promised to nobody.
+func (h *holder) evictionOn(x *holding, w waiting, promised *room, now time.Duration) *eviction {
+	e := &eviction{on: x, left: h.free(x)}
+	var list []*attempt
+	for _, a := range x.attempts {
+		switch {
+		case !a.live():
+		case a.stop:
+			e.left.leave(a.job)
+		case h.mayStop(w, a):
+			list = append(list, a)
+		}
+	}
+	if promised != nil {
+		e.left = *promised
+	}
+	slices.SortFunc(list, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(b.job.Rank(), a.job.Rank()), cmp.Compare(b.planned, a.planned), cmp.Compare(a.try, b.try), cmp.Compare(a.task, b.task))
+	})
+	for _, a := range list {
+		if e.left.fits(w.job) {
+			break
+		}
+		e.left.leave(a.job)
+		e.cost += 1 + a.job.CPUs*(now-a.planned).Seconds()
+		e.victims = append(e.victims, a)
+	}
+	if !e.left.fits(w.job) {
+		return nil
+	}
+	return e
+}
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -162,6 +162,9 @@
 	return err
 }
 
+// MachinesPerCall is how many machines one call of a list asks for.
+const MachinesPerCall = 500
+
 // List reads all machines, page by page.
 func (c *CloudClient) List() ([]CloudMachine, error) {
 	var all []CloudMachine
@@ -171,7 +174,7 @@
 			Machines []CloudMachine `json:"hosts"`
 			More     bool           `json:"more"`
 		}
-		path := "/hosts?most=500"
+		path := fmt.Sprintf("/hosts?most=%d", MachinesPerCall)
 		if after != "" {
 			path += "&from=" + url.QueryEscape(after)
 		}
