--- a/internal/bookkeeping/dependencies.go
+++ b/internal/bookkeeping/dependencies.go
@@ -45,7 +45,6 @@
 type urgency struct {
 	seen uint64 // state of the jobs that it follows from, see Cache.jobsState
 	rank int
-	due  int64
 }
 
 // Waits reports whether the job waits for others: as far as is known, not all that it
@@ -222,31 +221,16 @@
 // job and of those that need it, directly or through others.
 func (b *Cache) EffectiveRank(j *Job) int { return b.urgencyOf(j).rank }
 
-// DueMS is the time of day by which a job must be done if it and all that need it are
-// to be in time; 0: there is no such time.
-func (b *Cache) DueMS(j *Job) int64 { return b.urgencyOf(j).due }
-
-// urgencyOf works out what a job takes over. Users set deadline and priority on the
-// last job of a pipeline only, and it may come long after the first.
+// urgencyOf works out what a job takes over. Users set the priority on the last job of a
+// pipeline only, and it may come long after the first.
 func (b *Cache) urgencyOf(j *Job) urgency {
 	if j.urgency.seen == b.jobsState() {
 		return j.urgency
 	}
 	u := urgency{seen: b.jobsState(), rank: j.Rank()}
-	if j.DeadlineS > 0 {
-		u.due = j.AtMS + int64(j.DeadlineS*1000)
-	}
 	for _, d := range j.dependants {
-		if !d.Wanted() {
-			continue
-		}
-		after := b.urgencyOf(d)
-		u.rank = min(u.rank, after.rank)
-		if after.due != 0 {
-			due := after.due - int64(max(d.EstimateS, 1)*1000)
-			if u.due == 0 || due < u.due {
-				u.due = due
-			}
+		if d.Wanted() {
+			u.rank = min(u.rank, b.urgencyOf(d).rank)
 		}
 	}
 	j.urgency = u
