--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -23,66 +23,95 @@
 // place gives waiting tasks to machines, and makes room for those that may
 // preempt others.
 func (h *holder) place() {
-	n := h.n
-	now := n.now()
+	now := h.n.now()
 	list := h.waitingJobs(now)
 	if len(list) == 0 {
 		return
 	}
-	least := list[0].job // the least that any waiting task takes
+	r := &placingRound{h: h, now: now, machines: h.roomy(leastRoom(list), now), promised: map[*holding]*room{}}
+	for _, w := range list {
+		r.place(w)
+	}
+	if r.placed {
+		h.placingPasses++
+	}
+}
+
+// leastRoom is the least that any waiting task takes.
+func leastRoom(list []waiting) room {
+	least := list[0].job
 	need := room{least.CPUs, least.GPUs, least.MemoryGB}
 	for _, w := range list {
 		need = room{min(need.cpus, w.job.CPUs), min(need.gpus, w.job.GPUs), min(need.memory, w.job.MemoryGB)}
 	}
-	machines := h.roomy(need, now)
-	promised := map[*holding]*room{} // room that stops under way will leave
-	placed := false
-	var failed []*bookkeeping.Job // jobs for which there is no place; larger ones of their kind need not look
-	var unaided []waiting         // jobs for which nothing can be stopped
-	for _, w := range list {
-		if w.job.Kind == protocol.KindGang {
-			h.placeGang(machines, w, promised, now)
+	return need
+}
+
+// placingRound is one pass over all that waits.
+type placingRound struct {
+	h        *holder
+	now      time.Duration
+	machines []*holding         // with room for the least of the tasks
+	promised map[*holding]*room // room that stops under way will leave
+	placed   bool
+	failed   []*bookkeeping.Job // jobs for which there is no place; larger ones of their kind need not look
+	unaided  []waiting          // jobs for which nothing can be stopped
+}
+
+// place gives the tasks of one job to machines.
+func (r *placingRound) place(w waiting) {
+	h := r.h
+	if w.job.Kind == protocol.KindGang {
+		h.placeGang(r.machines, w, r.promised, r.now)
+		return
+	}
+	if w.job.OneZone && w.prog.attempts == 0 {
+		if zone := h.gatheringZone(w); zone >= 0 {
+			there := slices.DeleteFunc(slices.Clone(r.machines), func(x *holding) bool { return x.m.ZoneIdx != zone })
+			r.placed = h.placeTasks(there, w, r.now) || r.placed
+			return
+		}
+	}
+	hopeless := slices.ContainsFunc(r.failed, func(j *bookkeeping.Job) bool { return harder(w.job, j) })
+	promises, open := 0, max(1, w.job.Tasks-w.prog.doneN-w.prog.attempts)
+	for task := h.nextOpen(w.job, w.prog); task >= 0 && h.underLimit(w.job); task = h.nextOpen(w.job, w.prog) {
+		if !hopeless && r.placeTask(w, task) {
 			continue
 		}
-		if w.job.OneZone && w.prog.attempts == 0 {
-			if zone := h.gatheringZone(w); zone >= 0 {
-				machines := slices.DeleteFunc(slices.Clone(machines), func(x *holding) bool { return x.m.ZoneIdx != zone })
-				placed = h.placeTasks(machines, w, now) || placed
-				continue
-			}
+		hopeless = true
+		// Each waiting task is promised room once.
+		if promises++; promises > open || !r.makeRoom(w) {
+			return
 		}
-		hopeless := slices.ContainsFunc(failed, func(j *bookkeeping.Job) bool { return harder(w.job, j) })
-		promises, open := 0, max(1, w.job.Tasks-w.prog.doneN-w.prog.attempts)
-		for {
-			task := h.nextOpen(w.job, w.prog)
-			if task < 0 || !h.underLimit(w.job) {
-				break
-			}
-			if !hopeless {
-				if x := h.choose(machines, w.job, task, now); x != nil {
-					placed = true
-					h.plan(w.job, task, x, h.nextTry(x), now)
-					continue
-				}
-				hopeless = true
-				if !w.job.OneZone && !w.job.Spread {
-					failed = append(failed, w.job)
-				}
-			}
-			// Each waiting task is promised room once.
-			if promises++; promises > open || !h.mayMakeRoom(w) || slices.ContainsFunc(unaided, w.stopsNoMore) {
-				break
-			}
-			if !h.makeRoom(w, promised, now) {
-				unaided = append(unaided, w)
-				break
-			}
-			machines = slices.DeleteFunc(machines, func(x *holding) bool { return promised[x] != nil })
+	}
+}
+
+// placeTask gives a task to a machine, if there is one for it.
+func (r *placingRound) placeTask(w waiting, task int) bool {
+	h := r.h
+	x := h.choose(r.machines, w.job, task, r.now)
+	if x == nil {
+		if !w.job.OneZone && !w.job.Spread {
+			r.failed = append(r.failed, w.job)
 		}
+		return false
 	}
-	if placed {
-		h.placingPasses++
+	r.placed = true
+	h.plan(w.job, task, x, h.nextTry(x), r.now)
+	return true
+}
+
+// makeRoom stops other work for one task of a job, if any may be stopped for it.
+func (r *placingRound) makeRoom(w waiting) bool {
+	if !r.h.mayMakeRoom(w) || slices.ContainsFunc(r.unaided, w.stopsNoMore) {
+		return false
+	}
+	if !r.h.makeRoom(w, r.promised, r.now) {
+		r.unaided = append(r.unaided, w)
+		return false
 	}
+	r.machines = slices.DeleteFunc(r.machines, func(x *holding) bool { return r.promised[x] != nil })
+	return true
 }
 
 // placeTasks gives as many tasks of a job to machines as these take.
