--- a/internal/scenario/checker.go
+++ b/internal/scenario/checker.go
@@ -47,6 +47,16 @@
 	if j := c.s.users.jobs[t.spec.ID]; j.withdrawnAt > 0 && c.s.now > j.withdrawnAt+c.s.cluster.Workers.Cancel() {
 		c.breach("ran_cancelled", "%s starts %s after its withdrawal", t.Task, c.s.now-j.withdrawnAt)
 	}
+	c.quota(t)
+}
+
+// quota checks that what runs of a team stays within its limit.
+func (c *checker) quota(t *onWorker) {
+	i := slices.IndexFunc(c.s.cluster.Teams, func(x config.Team) bool { return x.Name == t.spec.Team })
+	most := c.s.cluster.Teams[i].CPUsMax
+	if most <= 0 {
+		return // no limit
+	}
 	cpus := 0.0
 	for _, x := range c.s.workers {
 		for _, o := range x.tasks {
@@ -55,8 +65,7 @@
 			}
 		}
 	}
-	i := slices.IndexFunc(c.s.cluster.Teams, func(x config.Team) bool { return x.Name == t.spec.Team })
-	if most := c.s.cluster.Teams[i].CPUsMax; most > 0 && cpus > most+1e-6 {
+	if cpus > most+1e-6 {
 		c.breach("quota", "team %s uses %v of %v CPUs", t.spec.Team, cpus, most)
 	}
 }
@@ -67,6 +76,9 @@
 	if w.r.Spot && !s.Spot || s.Zone != "" && s.Zone != w.r.Zone || len(s.Types) > 0 && !slices.Contains(s.Types, w.r.Type) {
 		c.breach("wrong_place", "%s on %s", t.Task, w.r.Name)
 	}
+	if !s.OneZone && !s.Spread {
+		return // any zone will do
+	}
 	here, elsewhere := 1, 0
 	for task, workers := range c.on {
 		id, _, err := protocol.SplitTask(task)
--- a/internal/scenario/checker_idle.go
+++ b/internal/scenario/checker_idle.go
@@ -10,12 +10,17 @@
 
 // machinesOf lists the machines that tasks of a job are on.
 func (c *checker) machinesOf(id string) []*worker {
-	var out []*worker
-	for _, task := range slices.Sorted(maps.Keys(c.on)) {
+	var tasks []string
+	for task := range c.on {
 		if job, _, err := protocol.SplitTask(task); err == nil && job == id {
-			out = append(out, c.on[task]...)
+			tasks = append(tasks, task)
 		}
 	}
+	slices.Sort(tasks)
+	var out []*worker
+	for _, task := range tasks {
+		out = append(out, c.on[task]...)
+	}
 	return out
 }
 
