Work that goes first in order is not stopped for another team's guarantee

Ruled out: attempts not reaped, zones.

The protocol lets work of any priority be stopped for a guarantee and doesn't ask for it.

--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -16,9 +16,11 @@
 	// Guaranteed share comes before what another team has borrowed. A service is
 	// never stopped for it: not for batch work, and one for another gains nobody
 	// anything, least of all when machines are lost and they take turns.
-	// Nor is what is within its own team's guarantee, or has starved before: it
-	// would take the room back, and the two would stop each other for ever.
-	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Standing() || a.prog.within || a.prog.starved {
+	// Nor is what goes before the waiting job in order, or is within its own team's
+	// guarantee, or has starved before: it would take the room back, and the two would
+	// stop each other for ever.
+	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Standing() || a.prog.within || a.prog.starved ||
+		h.n.cache.EffectiveRank(a.job) < w.rank {
 		return false
 	}
 	b := h.n.cache
@@ -50,7 +52,7 @@
 // too, and a place for w would do for it. Looking costs a look at everything that runs,
 // so where it was in vain for one job it is left out for those like it.
 func (w waiting) stopsNoMore(other waiting) bool {
-	return harder(w.job, other.job) && w.job.Rank() >= other.job.Rank() && !w.job.Spread && !other.job.Spread && !other.job.OneZone &&
+	return harder(w.job, other.job) && w.job.Rank() >= other.job.Rank() && w.rank >= other.rank && !w.job.Spread && !other.job.Spread && !other.job.OneZone &&
 		(!w.within || other.within && w.job.TeamIdx == other.job.TeamIdx)
 }
 
