--- a/internal/bookkeeping/dependencies.go
+++ b/internal/bookkeeping/dependencies.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -89,7 +90,6 @@
 		if need == j || slices.Contains(j.needs, need) {
 			continue
 		}
-		need.Refs++
 		need.dependants = append(need.dependants, j)
 		j.needs = append(j.needs, need)
 		if need.outcome != OutcomeDone {
@@ -113,7 +113,6 @@
 	delete(b.dependentCancelled, j)
 	for _, need := range needs {
 		need.dependants = slices.DeleteFunc(need.dependants, func(d *Job) bool { return d == j })
-		need.Refs--
 		b.noteUnread(need)
 		b.DropJob(need)
 	}
@@ -240,10 +239,5 @@
 // sortedJobs lists a set of jobs in the order of their names: what a controller does
 // must follow from what it knows alone.
 func sortedJobs(set map[*Job]bool) []*Job {
-	list := make([]*Job, 0, len(set))
-	for j := range set {
-		list = append(list, j)
-	}
-	slices.SortFunc(list, func(a, b *Job) int { return cmp.Compare(a.ID, b.ID) })
-	return list
+	return slices.SortedFunc(maps.Keys(set), func(a, b *Job) int { return cmp.Compare(a.ID, b.ID) })
 }
--- a/internal/config/faults.go
+++ b/internal/config/faults.go
@@ -8,7 +8,10 @@
 // faults are settings that are missing or impossible, each named by its field.
 type faults []error
 
-const missing = "missing"
+const (
+	missing     = "missing"
+	notPositive = "missing or not above 0"
+)
 
 func (f *faults) add(field, what string) { *f = append(*f, fmt.Errorf("%s: %s", field, what)) }
 
@@ -23,7 +26,7 @@
 
 func (f *faults) positive(field string, value float64) {
 	if !(value > 0) {
-		f.add(field, "missing or not above 0")
+		f.add(field, notPositive)
 	}
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -143,7 +143,7 @@
 	if workers.CancelS > 0 && workers.CancelS <= workers.LeaseS {
 		found.add("cluster.workers.cancel_s", "must exceed lease_s")
 	}
-	found = append(found, s.Cluster.State.check()...)
+	s.Cluster.State.check(&found)
 	found.positive("cluster.cloud.rps", s.Cluster.Cloud.RPS)
 	if s.Cluster.Limits.MemoryMB < 0 || s.Cluster.Limits.Sockets < 0 {
 		found.add("cluster.limits", "below 0")
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -66,26 +66,24 @@
 }
 
 // check names the limits that are missing or impossible.
-func (s State) check() []error {
-	faults := checkLimits("cluster.state.", &s.RPS, &s.WriteRPS, &s.ValueKB, &s.TxnOps)
-	if next := s.Next; next != nil {
-		faults = append(faults, checkLimits("cluster.state.next.", next.RPS, next.WriteRPS, next.ValueKB, next.TxnOps)...)
+func (s State) check(found *faults) {
+	checkLimits(found, "cluster.state.", Next{&s.RPS, &s.WriteRPS, &s.ValueKB, &s.TxnOps})
+	if s.Next != nil {
+		checkLimits(found, "cluster.state.next.", *s.Next)
 	}
-	return faults
 }
 
 // checkLimits checks the limits that are given; nil ones are not.
-func checkLimits(prefix string, rps, writeRPS, valueKB *float64, txnOps *int) (faults []error) {
+func checkLimits(found *faults, prefix string, limits Next) {
 	for _, limit := range []struct {
 		field string
 		value *float64
-	}{{"rps", rps}, {"write_rps", writeRPS}, {"value_kb", valueKB}} {
+	}{{"rps", limits.RPS}, {"write_rps", limits.WriteRPS}, {"value_kb", limits.ValueKB}} {
 		if limit.value != nil && !(*limit.value > 0 && *limit.value <= highestLimit) {
-			faults = append(faults, fmt.Errorf("%s%s: missing or not above 0", prefix, limit.field))
+			found.add(prefix+limit.field, notPositive)
 		}
 	}
-	if txnOps != nil && (*txnOps < LeastChanges || *txnOps > highestLimit) {
-		faults = append(faults, fmt.Errorf("%stxn_ops: missing or below %d", prefix, LeastChanges))
+	if ops := limits.TxnOps; ops != nil && (*ops < LeastChanges || *ops > highestLimit) {
+		found.add(prefix+"txn_ops", fmt.Sprintf("missing or below %d", LeastChanges))
 	}
-	return faults
 }
--- a/internal/coordination/allocs_test.go
+++ b/internal/coordination/allocs_test.go
@@ -15,16 +15,22 @@
 	b.report(1, grantToken, running)
 	r := &protocol.Report{Machine: "m-1", Address: "w", Type: "small", Zone: "z", Session: 1, Seq: 1, Token: grantToken, Tasks: []protocol.TaskStatus{running}}
 	b.n.hold.pass() // what the first report asked for is sent
+	b.boundReportAllocations(r)
+}
+
+// boundReportAllocations asserts what a report without news allocates.
+func (b *bench) boundReportAllocations(r *protocol.Report) {
+	b.t.Helper()
 	reply := func(a Answer) {
 		if a.Status != 200 {
-			t.Fatalf("status %d", a.Status)
+			b.t.Fatalf("status %d", a.Status)
 		}
 	}
 	if n := testing.AllocsPerRun(200, func() {
 		r.Seq++
 		b.n.OnReport(r, reply)
 	}); n > 2 {
-		t.Errorf("%v allocations for a report without news", n)
+		b.t.Errorf("%v allocations for a report without news", n)
 	}
 }
 
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -20,14 +20,19 @@
 	cmds := []protocol.Command{}
 	for _, ref := range refs(x.attempts) {
 		if a := x.attempts[ref]; a.live() && a.stop {
-			g := a.grace
-			a.stopSentAt = h.n.now()
-			cmds = append(cmds, protocol.Command{Verb: protocol.VerbStop, Task: protocol.TaskName(a.job.ID, a.task), Attempt: a.try, GraceS: &g})
+			cmds = append(cmds, a.stopCommand(h.n.now()))
 		}
 	}
 	return cmds
 }
 
+// stopCommand is the stop of an attempt, which is sent now.
+func (a *attempt) stopCommand(now time.Duration) protocol.Command {
+	grace := a.grace
+	a.stopSentAt = now
+	return protocol.Command{Verb: protocol.VerbStop, Task: protocol.TaskName(a.job.ID, a.task), Attempt: a.try, GraceS: &grace}
+}
+
 // commandsFor works out the difference between what should be on a machine and what
 // its last report showed.
 func (h *holder) commandsFor(x *holding) []protocol.Command {
@@ -82,7 +87,6 @@
 // stop and was never told to start ends here.
 func (h *holder) commandFor(x *holding, a *attempt) (c protocol.Command, needed bool) {
 	now := h.n.now()
-	name := protocol.TaskName(a.job.ID, a.task)
 	switch {
 	case !a.live():
 		return c, false
@@ -94,16 +98,14 @@
 		if a.state == taskPlanned && a.token >= x.token {
 			x.token = a.token + 1 // so that its absence will prove something
 		}
-		grace := a.grace
-		a.stopSentAt = now
-		return protocol.Command{Verb: protocol.VerbStop, Task: name, Attempt: a.try, GraceS: &grace}, true
+		return a.stopCommand(now), true
 	case a.state == taskPlanned && a.durable() && a.job.Wanted() && !a.inherited:
 		if a.token == 0 {
 			a.sentAt = now
 		}
 		a.token, a.session = x.token, x.session
 		x.sent = x.token
-		return protocol.Command{Verb: protocol.VerbStart, Task: name, Attempt: a.try}, true
+		return protocol.Command{Verb: protocol.VerbStart, Task: protocol.TaskName(a.job.ID, a.task), Attempt: a.try}, true
 	}
 	return c, false
 }
--- a/internal/coordination/fleet_size_test.go
+++ b/internal/coordination/fleet_size_test.go
@@ -38,13 +38,7 @@
 	if n := len(b.txns); n > 0 {
 		t.Errorf("%d transactions", n)
 	}
-	report, reply := grownReport(7, 2), func(Answer) {}
-	if n := testing.AllocsPerRun(200, func() {
-		report.Seq++
-		b.n.OnReport(report, reply)
-	}); n > 2 {
-		t.Errorf("%v allocations for a report without news", n)
-	}
+	b.boundReportAllocations(grownReport(7, 2))
 }
 
 // TestReturnOfHundreds: hundreds of machines leave at once. Their blocks share writes,
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -257,16 +257,9 @@
 func BenchmarkSizerCycle(b *testing.B) {
 	g := grownBench(b)
 	g.waitingJob()
-	const lease = 9
-	g.n.candidateLeases[lease] = true
-	g.apply(bookkeeping.KeyLeader, bookkeeping.LeaderRecord{Node: "a", Incarnation: g.n.incarnation, Term: 6, Lease: lease})
-	g.n.checkLeadership()
-	if g.n.lead == nil {
-		b.Fatal("it does not lead")
-	}
-	g.n.lead.fleet.gotTypes = true
+	f := g.leading()
 	b.ReportAllocs()
 	for b.Loop() {
-		g.n.lead.fleet.size(g.now)
+		f.size(g.now)
 	}
 }
--- a/internal/coordination/needs_test.go
+++ b/internal/coordination/needs_test.go
@@ -74,6 +74,17 @@
 	k.values[bookkeeping.FinalKey(id)] = bookkeeping.Encode(bookkeeping.FinalRecord{Stage: stage})
 }
 
+// passSecond lets a second pass, and what waits for a moment come about.
+func (k *keeper) passSecond() {
+	timers := k.timers
+	k.timers = nil
+	k.now += time.Second
+	k.fresh()
+	for _, f := range timers {
+		f()
+	}
+}
+
 // submit submits a job that needs others and returns the answer.
 func (k *keeper) submit(id string, needs ...string) Answer {
 	k.t.Helper()
@@ -86,17 +97,11 @@
 	}
 	var got *Answer
 	k.n.Submit(body, func(a Answer) { got = &a })
-	for range 100 { // what waits for a moment comes about
+	for range 100 {
 		if got != nil {
 			return *got
 		}
-		timers := k.timers
-		k.timers = nil
-		k.now += time.Second
-		k.fresh()
-		for _, f := range timers {
-			f()
-		}
+		k.passSecond()
 	}
 	k.t.Fatal("no answer")
 	return Answer{}
@@ -210,13 +215,7 @@
 		t.Errorf("%d reads at once, at most %d", atOnce, most)
 	}
 	for range 20 {
-		timers := k.timers
-		k.timers = nil
-		k.now += time.Second
-		k.fresh()
-		for _, f := range timers {
-			f()
-		}
+		k.passSecond()
 	}
 	if len(k.reads) != ended {
 		t.Errorf("%d reads for %d jobs", len(k.reads), ended)
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -10,7 +10,8 @@
 func (h *holder) mayStop(w waiting, a *attempt) bool {
 	// What waits has its own priority, what may be stopped the highest of those that
 	// need it: a cheap first stage of a pipeline stops nothing and isn't stopped.
-	if h.n.cache.EffectiveRank(a.job) > w.job.Rank() {
+	rank := h.n.cache.EffectiveRank(a.job)
+	if rank > w.job.Rank() {
 		return true
 	}
 	// Guaranteed share comes before what another team has borrowed. A service is
@@ -19,8 +20,7 @@
 	// Nor is what goes before the waiting job in order, or is within its own team's
 	// guarantee, or has starved before: it would take the room back, and the two would
 	// stop each other for ever.
-	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Standing() || a.prog.within || a.prog.starved ||
-		h.n.cache.EffectiveRank(a.job) < w.rank {
+	if !w.within || a.job.TeamIdx == w.job.TeamIdx || a.job.Standing() || a.prog.within || a.prog.starved || rank < w.rank {
 		return false
 	}
 	b := h.n.cache
@@ -96,19 +96,21 @@
 // after what it was promised to; nil where it was promised to nobody.
 func (h *holder) evictionOn(x *holding, w waiting, promised *room, now time.Duration) *eviction {
 	e := &eviction{on: x, left: h.free(x)}
+	if promised != nil {
+		e.left = *promised
+	}
 	var list []*attempt
 	for _, a := range x.attempts {
 		switch {
 		case !a.live():
 		case a.stop:
-			e.left.leave(a.job)
+			if promised == nil {
+				e.left.leave(a.job)
+			}
 		case h.mayStop(w, a):
 			list = append(list, a)
 		}
 	}
-	if promised != nil {
-		e.left = *promised
-	}
 	slices.SortFunc(list, func(a, b *attempt) int {
 		return cmp.Or(cmp.Compare(b.job.Rank(), a.job.Rank()), cmp.Compare(b.planned, a.planned), cmp.Compare(a.try, b.try), cmp.Compare(a.task, b.task))
 	})
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -26,6 +26,20 @@
 	return Answer{Status: http.StatusServiceUnavailable, Body: protocol.Problem{Error: what}, RetryAfter: time.Second}
 }
 
+// stateAway is the answer while the state service can't be asked.
+func stateAway() Answer { return retryLater("state service does not answer") }
+
+// noSuchJob is the answer about a job that was never accepted.
+func noSuchJob() Answer { return problem(http.StatusNotFound, "no such job") }
+
+// receipt is the answer about a job that is known.
+func receipt(id, stage string) Answer {
+	return Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: stage}}
+}
+
+// receiptOf is the answer about a job that was looked up.
+func receiptOf(v *protocol.View) Answer { return receipt(v.ID, v.Stage) }
+
 // maxFinals is how many final states are remembered; others are read when asked
 // for.
 const maxFinals = 20_000
@@ -87,27 +101,33 @@
 		case needImpossible:
 			reply(problem(http.StatusUnprocessableEntity, "waitsOn: names a job that was never accepted, or a service"))
 		case needUndecided:
-			reply(retryLater("state service does not answer"))
+			reply(stateAway())
 		default:
 			n.accept(spec, verdict == needCancelled, reply)
 		}
 	})
 }
 
-// answerKnown answers a repeated submission with what has become of the job.
-func (n *Node) answerKnown(id string, reply func(Answer)) {
+// answerJob looks a job up and answers with what is said of it, or with absent where it
+// was never accepted.
+func (n *Node) answerJob(id string, absent Answer, known func(*protocol.View) Answer, reply func(Answer)) {
 	n.lookup(id, func(v *protocol.View, err error) {
 		switch {
 		case err != nil:
-			reply(retryLater("state service does not answer"))
+			reply(stateAway())
 		case v == nil:
-			reply(retryLater("undecided"))
+			reply(absent)
 		default:
-			reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: v.ID, Stage: v.Stage}})
+			reply(known(v))
 		}
 	})
 }
 
+// answerKnown answers a repeated submission with what has become of the job.
+func (n *Node) answerKnown(id string, reply func(Answer)) {
+	n.answerJob(id, retryLater("undecided"), receiptOf, reply)
+}
+
 // accept makes a job durable. One that needs a cancelled job is accepted as
 // cancelled: its final record is all there ever is of it.
 func (n *Node) accept(spec *protocol.Spec, cancelled bool, reply func(Answer)) {
@@ -140,7 +160,7 @@
 		case errors.Is(err, protocol.ErrRejected):
 			n.refuseTooLong(spec.ID, reply)
 		default:
-			reply(retryLater("state service does not answer"))
+			reply(stateAway())
 		}
 	})
 }
@@ -148,16 +168,7 @@
 // refuseTooLong refuses a job whose record does not fit a value, unless it was accepted
 // when longer values fitted.
 func (n *Node) refuseTooLong(id string, reply func(Answer)) {
-	n.lookup(id, func(v *protocol.View, err error) {
-		switch {
-		case err != nil:
-			reply(retryLater("state service does not answer"))
-		case v == nil:
-			reply(problem(http.StatusBadRequest, "malformed: description too long to be kept"))
-		default:
-			reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: v.ID, Stage: v.Stage}})
-		}
-	})
+	n.answerJob(id, problem(http.StatusBadRequest, "malformed: description too long to be kept"), receiptOf, reply)
 }
 
 // impossible tells why a job can never run, or "".
@@ -262,23 +273,16 @@
 // Status answers a user's question about a job.
 func (n *Node) Status(id string, reply func(Answer)) {
 	if !protocol.ValidJobID(id) {
-		reply(problem(http.StatusNotFound, "no such job"))
+		reply(noSuchJob())
 		return
 	}
 	if !n.ready {
 		reply(retryLater("starting"))
 		return
 	}
-	n.lookup(id, func(v *protocol.View, err error) {
-		switch {
-		case err != nil:
-			reply(retryLater("state service does not answer"))
-		case v == nil:
-			reply(problem(http.StatusNotFound, "no such job"))
-		default:
-			reply(Answer{Status: http.StatusOK, Body: v})
-		}
-	})
+	n.answerJob(id, noSuchJob(), func(v *protocol.View) Answer {
+		return Answer{Status: http.StatusOK, Body: v}
+	}, reply)
 }
 
 // Cancel cancels a job. Removing the record of the unfinished job under its
@@ -286,7 +290,7 @@
 // job that completes, so only one of the two can ever happen.
 func (n *Node) Cancel(id string, reply func(Answer)) {
 	if !protocol.ValidJobID(id) {
-		reply(problem(http.StatusNotFound, "no such job"))
+		reply(noSuchJob())
 		return
 	}
 	if !n.ready {
@@ -301,13 +305,13 @@
 
 func (n *Node) cancel(id string, tries int, reply func(Answer)) {
 	if f, ok := n.finals[id]; ok {
-		reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: f.Stage}})
+		reply(receipt(id, f.Stage))
 		return
 	}
 	n.State.Get(bookkeeping.JobKey(id), func(it protocol.Item, found bool, err error) {
 		switch {
 		case err != nil:
-			reply(retryLater("state service does not answer"))
+			reply(stateAway())
 		case found:
 			n.cancelUnfinished(id, it.Version, tries, reply)
 		default:
@@ -328,32 +332,27 @@
 		case err == nil:
 			n.remember(id, f)
 			n.cancellationConfirmed(id)
-			reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: f.Stage}})
+			reply(receipt(id, f.Stage))
 		case errors.Is(err, protocol.ErrConflict) && tries > 1:
 			n.cancel(id, tries-1, reply)
 		default:
-			reply(retryLater("state service does not answer"))
+			reply(stateAway())
 		}
 	})
 }
 
 // answerCancelOfEnded answers a cancellation of a job that has no unfinished record.
 func (n *Node) answerCancelOfEnded(id string, reply func(Answer)) {
-	n.lookup(id, func(v *protocol.View, err error) {
-		switch {
-		case err != nil:
-			reply(retryLater("state service does not answer"))
-		case v == nil:
-			reply(problem(http.StatusNotFound, "no such job"))
-		case v.Stage != protocol.StageDone && v.Stage != protocol.StageWithdrawn:
-			reply(retryLater("undecided"))
-		default:
+	n.answerJob(id, noSuchJob(), func(v *protocol.View) Answer {
+		switch v.Stage {
+		case protocol.StageDone:
+		case protocol.StageWithdrawn:
 			// The transaction may have been another controller's that never heard how
 			// it ended.
-			if v.Stage == protocol.StageWithdrawn {
-				n.cancellationConfirmed(id)
-			}
-			reply(Answer{Status: http.StatusOK, Body: protocol.Receipt{ID: id, Stage: v.Stage}})
+			n.cancellationConfirmed(id)
+		default:
+			return retryLater("undecided")
 		}
-	})
+		return receipt(id, v.Stage)
+	}, reply)
 }
--- a/internal/scenario/actions_users.go
+++ b/internal/scenario/actions_users.go
@@ -20,11 +20,7 @@
 	default:
 		line.fail("submit: when %s", when)
 	}
-	return func() {
-		j.submitted = s.now
-		s.users.jobs[j.spec.ID] = j
-		s.users.submit(j)
-	}
+	return func() { s.users.submitFirst(j) }
 }
 
 func actStream(s *sim, line *statement) func() {
@@ -49,9 +45,7 @@
 	return func() {
 		for i, j := range jobs {
 			s.after(time.Duration(i)*every, func() {
-				j.submitted = s.now
-				s.users.jobs[j.spec.ID] = j
-				s.users.submit(j)
+				s.users.submitFirst(j)
 				if s.rand.Float64() < cancelled {
 					s.after(time.Duration(s.rand.Int64N(int64(after))), func() { s.users.withdraw(j) })
 				}
--- a/internal/scenario/checker_needs.go
+++ b/internal/scenario/checker_needs.go
@@ -13,16 +13,19 @@
 // needsDone reports whether all jobs that a job needs are done: as it is, not as
 // anybody was told.
 func (c *checker) needsDone(j *userJob) bool {
-	return !slices.ContainsFunc(j.spec.Needs, func(id string) bool {
-		need := c.s.users.jobs[id]
-		return need == nil || !c.complete(need)
-	})
+	return !slices.ContainsFunc(j.spec.Needs, c.incomplete)
+}
+
+// incomplete reports whether a job that another one names is not done.
+func (c *checker) incomplete(id string) bool {
+	need := c.s.users.jobs[id]
+	return need == nil || !c.complete(need)
 }
 
 // tooEarly is called when a task of a job starts.
 func (c *checker) tooEarly(task string, j *userJob) {
 	for _, id := range j.spec.Needs {
-		if need := c.s.users.jobs[id]; need == nil || !c.complete(need) {
+		if c.incomplete(id) {
 			c.breach("too_early", "%s starts before %s is done", task, id)
 		}
 	}
--- a/internal/scenario/users_pipelines.go
+++ b/internal/scenario/users_pipelines.go
@@ -16,14 +16,16 @@
 
 // submitWhen submits a job once all that it needs is accepted, or over.
 func (u *users) submitWhen(j *userJob, over bool) {
-	ready := !slices.ContainsFunc(j.spec.Needs, func(id string) bool {
-		need := u.jobs[id]
-		return need == nil || !need.accepted || over && need.final == ""
-	})
+	ready := u.allAccepted(j) && !(over && slices.ContainsFunc(j.spec.Needs, func(id string) bool { return u.jobs[id].final == "" }))
 	if !ready {
 		u.s.after(needPause, func() { u.submitWhen(j, over) })
 		return
 	}
+	u.submitFirst(j)
+}
+
+// submitFirst submits a job for the first time.
+func (u *users) submitFirst(j *userJob) {
 	j.submitted = u.s.now
 	u.jobs[j.spec.ID] = j
 	u.submit(j)
