--- a/internal/scenario/actions_controllers.go
+++ b/internal/scenario/actions_controllers.go
@@ -31,7 +31,7 @@
 func actStop(sim *simulation, line *statement) func() {
 	h := sim.hostNamed(line, line.arg(0))
 	return func() {
-		if p := h.process; p != nil {
+		if p := h.process; p != nil && p.started {
 			p.controller.Stop(h.crash)
 		}
 	}
--- a/internal/scenario/agent.go
+++ b/internal/scenario/agent.go
@@ -144,3 +144,8 @@
 	}
 	return i, a.tasks[i]
 }
+
+// mayRun reports whether the machine has an attempt at a task that has not ended.
+func (a *fakeAgent) mayRun(name string) bool {
+	return slices.ContainsFunc(a.tasks, func(t *agentTask) bool { return t.Task == name && t.State != protocol.TaskEnded })
+}
--- a/internal/scenario/agent_tasks.go
+++ b/internal/scenario/agent_tasks.go
@@ -62,6 +62,7 @@
 		a.end(task, cause)
 		return
 	}
+	a.sim.checker.taskAccepted(a, task)
 	a.setState(task, protocol.TaskFetching)
 	fetch := 0.0
 	if !a.images[task.spec.Image] {
--- a/internal/scenario/checker.go
+++ b/internal/scenario/checker.go
@@ -51,6 +51,17 @@
 	c.checkQuota(task)
 }
 
+// taskAccepted is called when a machine takes an attempt, which may wait for its image. No
+// other machine may have one at the same task that has not ended: only then can no order of
+// fetches and ends let the task run twice.
+func (c *checker) taskAccepted(agent *fakeAgent, task *agentTask) {
+	for _, other := range c.sim.agents {
+		if other != agent && other.mayRun(task.Task) {
+			c.violate(ruleTwoAttempts, "%s is taken by %s while %s has it", task.Task, agent.machine.Name, other.machine.Name)
+		}
+	}
+}
+
 // checkNotCancelled checks that a task that starts is of no job that was cancelled for
 // longer than a cancellation may take.
 func (c *checker) checkNotCancelled(task *agentTask, job *userJob) {
--- a/internal/scenario/host.go
+++ b/internal/scenario/host.go
@@ -25,6 +25,7 @@
 type process struct {
 	host       *host
 	controller *coordination.Controller
+	started    bool // its controller has started; on a host that stands still it has to wait
 	dead       bool
 }
 
@@ -32,20 +33,32 @@
 func (h *host) start() {
 	sim := h.sim
 	sim.faults.end("down", h.name)
-	started := &process{host: h}
-	started.controller = coordination.New(coordination.Config{
+	next := &process{host: h}
+	next.controller = coordination.New(coordination.Config{
 		Settings: h.settings(),
 		Options:  sim.options,
-		Clock:    started,
-		Store:    storeLink{started},
-		Cloud:    cloudLink{started},
-		Agents:   agentLink{started},
-		Peers:    peerLink{started},
+		Clock:    next,
+		Store:    storeLink{next},
+		Cloud:    cloudLink{next},
+		Agents:   agentLink{next},
+		Peers:    peerLink{next},
 		Rand:     rand.New(rand.NewPCG(sim.rand.Uint64(), sim.rand.Uint64())),
 		Log:      sim.log.With("controller", h.name),
 	})
-	h.process = started
-	sim.after(0, started.guard(started.controller.Start))
+	h.process = next
+	sim.after(0, next.startController)
+}
+
+// startController starts the controller once the host does not stand still.
+func (p *process) startController() {
+	switch {
+	case p.dead:
+	case p.host.isPaused():
+		p.host.sim.after(p.host.pausedUntil-p.host.sim.now, p.startController)
+	default:
+		p.started = true
+		p.controller.Start()
+	}
 }
 
 // startIfDown begins a new process where none runs.
@@ -118,7 +131,8 @@
 	return h.storePartitioned || h.peersPartitioned || h.agentsPartitioned
 }
 
-// guard makes a callback do nothing once the process is dead, and wait while it is paused.
+// guard makes a callback do nothing once the process is dead, and wait while it is paused or
+// has not started its controller.
 func (p *process) guard(callback func()) func() {
 	var run func()
 	run = func() {
@@ -126,6 +140,8 @@
 		case p.dead:
 		case p.host.isPaused():
 			p.host.sim.after(p.host.pausedUntil-p.host.sim.now, run)
+		case !p.started:
+			p.host.sim.after(time.Millisecond, run)
 		default:
 			callback()
 		}
--- /dev/null
+++ b/internal/scenario/random_handovers_test.go
@@ -0,0 +1,168 @@
+package scenario
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"golang.org/x/tools/txtar"
+)
+
+// The soak of handovers is short in CI. A long one is started by hand:
+//
+//	go test ./internal/scenario -run TestHandoverSoak -handover-days 20000 -handover-seed 100000 -timeout 0
+var (
+	handoverDays = flag.Uint64("handover-days", 150, "days that the soak of handovers plays")
+	handoverSeed = flag.Uint64("handover-seed", 1, "seed of its first day; the others follow")
+)
+
+// TestHandoverSoak plays days on which small fleets change hands while messages are lost and
+// late: machines are up within two seconds, holders stand still and come back to find their
+// shard with another, all controllers end within a second, and the cloud, the store and
+// machines are heard late or not at all. Whatever happens, no two machines may have an
+// attempt at a task that may run, and no other rule may be broken. A finding names the seed,
+// with which -handover-seed plays the day again.
+func TestHandoverSoak(t *testing.T) {
+	for seed := *handoverSeed; seed < *handoverSeed+*handoverDays; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			day := &dayWriter{rand: rand.New(rand.NewPCG(seed, 4))}
+			world := day.drawHandoverWorld()
+			day.drawHandoverDay()
+			day.soak(t, world, seed)
+		})
+	}
+}
+
+// soak plays a day of which only the rules are asked.
+func (d *dayWriter) soak(t *testing.T, world []byte, seed uint64) {
+	t.Helper()
+	day := &txtar.Archive{Files: []txtar.File{{Name: fileWorld, Data: world}, {Name: fileScript, Data: d.script}}}
+	result, err := Run(day, seed, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range result.Violations {
+		t.Error(violation)
+	}
+	if t.Failed() {
+		t.Logf("the day:\n%s", txtar.Format(day))
+	}
+	if t.Failed() && testing.Verbose() {
+		var log bytes.Buffer
+		if _, err := Run(day, seed, &log); err != nil {
+			t.Fatal(err)
+		}
+		t.Log(log.String())
+	}
+}
+
+// drawHandoverWorld draws a small cluster whose machines boot within two seconds. In half of
+// them controllers begin without knowing the limits of the store to come, as the version
+// before does, and are upgraded during the day.
+func (d *dayWriter) drawHandoverWorld() []byte {
+	world := []byte(`team red cpus=24 max=48
+team blue cpus=8 max=24
+machine-type small cpus=4 mem=32 price=0.4 spot=0.1 boot=1 fetch=1
+machine-type large cpus=16 mem=128 price=1.5 spot=0.4 boot=1 fetch=1
+capacity small north count=6
+capacity small south count=6
+capacity small north kind=spot count=4
+capacity large south count=2
+capacity large south kind=spot count=2
+`)
+	if d.rand.IntN(4) > 0 {
+		world = append(world, "controllers 5\njob-shards n=2\n"...)
+	}
+	if d.rand.IntN(2) == 0 {
+		world = append(world, "store writes=20 value=2 ops=8\nannounced-limits writes=10 value=1 ops=4 unaware=1\n"...)
+		for i, controller := range []string{"a", "b", "c"} {
+			d.add(seconds(20+25*i)+d.secondsBelow(20), "upgrade %s down=%dms", controller, 200+d.rand.IntN(4000))
+		}
+		d.add(130*time.Second, "store-lower-limits")
+	}
+	return world
+}
+
+// drawHandoverDay draws waves of work and, with each, faults that meet it.
+func (d *dayWriter) drawHandoverDay() {
+	d.add(time.Second, "submit run-1 kind=service priority=critical tasks=3 cpus=2 image-gb=0")
+	for wave := range 8 {
+		at := seconds(8+18*wave) + d.millisecondsBelow(6000)
+		d.drawWave(wave, at)
+		for range 3 {
+			d.drawHandoverFault(at)
+		}
+		if d.rand.IntN(3) == 0 {
+			d.add(at+d.millisecondsBelow(8000), "cancel-running count=%d pause=%ds", 1+d.rand.IntN(3), d.rand.IntN(10))
+		}
+	}
+	const over = 160 * time.Second
+	for _, end := range []string{"heal all all", "start all", "store-lost-answers share=0", "cloud-lost-answers share=0"} {
+		d.add(over, end)
+	}
+	d.add(240*time.Second, "end")
+}
+
+// drawWave draws work of both kinds that needs new machines within a second or two.
+func (d *dayWriter) drawWave(wave int, at time.Duration) {
+	r := d.rand
+	d.add(at, "submit run-%d kind=service priority=critical tasks=%d cpus=%d image-gb=0", 10+wave, 1+r.IntN(3), 2+2*r.IntN(2))
+	for i := range 1 + r.IntN(3) {
+		d.add(at+d.millisecondsBelow(3000), "submit run-%d team=%s tasks=%d cpus=%d run=%d estimate=%d image-gb=%d spot=%d",
+			100+10*wave+i, d.oneOf("red", "blue"), 1+r.IntN(6), 1+r.IntN(3), 5+r.IntN(40), 5+r.IntN(40), r.IntN(2), r.IntN(2))
+	}
+	if r.IntN(2) == 0 {
+		d.add(at+seconds(20)+d.secondsBelow(40), "cancel run-%d", 10+wave)
+	}
+}
+
+// drawHandoverFault draws a fault that begins within four seconds of a time, and its end.
+func (d *dayWriter) drawHandoverFault(around time.Duration) {
+	at := around + d.millisecondsBelow(4000)
+	machine := fmt.Sprintf("m-%06d", d.rand.IntN(20))
+	lasting := seconds(2 + d.rand.IntN(25))
+	share := 2 + d.rand.IntN(8) // tenths
+	switch d.rand.IntN(16) {
+	case 0, 1:
+		d.add(at, "cloud-lost-answers share=0.%d", share)
+		d.add(at+seconds(1+d.rand.IntN(12)), "cloud-lost-answers share=0")
+	case 2, 3:
+		d.add(at, "pause %s %ds", d.oneOf("holder:0", "holder:1", "leader"), 2+d.rand.IntN(14))
+	case 4, 5:
+		d.add(at, "crash all")
+		d.add(at+seconds(3), "start all")
+	case 6:
+		d.add(at, "crash %s", d.someController())
+		d.add(at+200*time.Millisecond+d.millisecondsBelow(5000), "start all")
+	case 7:
+		d.add(at, "machine-partition %s %s", machine, lasting)
+	case 8:
+		d.add(at, "outbound-partition some %s share=0.%d", lasting, share)
+	case 9:
+		d.add(at, "inbound-partition some %s share=0.%d", lasting, share)
+	case 10:
+		d.add(at, "machine-pause some %s share=0.%d", lasting, share)
+	case 11:
+		d.add(at, "store-lost-answers share=0.%d late=0.8", share/2)
+		d.add(at+lasting, "store-lost-answers share=0")
+	case 12:
+		d.add(at, "duplicate-heartbeats share=0.%d least=2s most=70s", share)
+		d.add(at+lasting, "duplicate-heartbeats share=0")
+	case 13:
+		d.add(at, "delayed-commands share=0.%d least=2s most=16s", share)
+		d.add(at+lasting, "delayed-commands share=0")
+	case 14:
+		d.add(at, "store-latency share=0.%d most=2500ms", share)
+		d.add(at+lasting, "store-latency share=0")
+	case 15:
+		controller := d.someController()
+		d.add(at, "partition %s %s", controller, d.oneOf(partAll, partStore, partPeers, partAgents))
+		d.add(at+lasting, "heal all all")
+	}
+}
--- a/internal/scenario/rules.go
+++ b/internal/scenario/rules.go
@@ -6,6 +6,7 @@
 // The rules, by what is seen when one is broken.
 const (
 	ruleRanTwice     rule = "ran_twice"     // a task starts while it is on another machine
+	ruleTwoAttempts  rule = "two_attempts"  // a machine takes a task of which another has an attempt that may run
 	ruleRanCancelled rule = "ran_cancelled" // a cancelled job is on a machine after the time for cancelling
 	ruleWrongPlace   rule = "wrong_place"   // a task starts where its job does not allow
 	ruleQuota        rule = "quota"         // a team is over its maximum
--- a/internal/scenario/select.go
+++ b/internal/scenario/select.go
@@ -90,7 +90,7 @@
 // leaderHost is the host whose process leads now, or the first.
 func (s *simulation) leaderHost() *host {
 	for _, h := range s.hosts {
-		if h.process == nil {
+		if h.process == nil || !h.process.started {
 			continue
 		}
 		if status, _ := h.process.controller.Autoscaler(); status.Leading {
