Log and metrics: who leads and holds what, from which view, and why a command or answer was allowed

Cause: the output of the incident told neither which records a holder had read nor why it took an attempt for over, and a creation without an answer left no line at all.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -150,6 +150,7 @@
 	c.updateWriteBudget()
 	c.reporter.WriteLiveness()
 	c.jobs.Tick()
+	c.noteStanding()
 	c.refreshGauges()
 	c.elector.Tick()
 	if c.leader != nil {
--- a/internal/coordination/election/elector.go
+++ b/internal/coordination/election/elector.go
@@ -150,7 +150,7 @@
 	case leads && (e.leadership == nil || e.leadership.term != record.Term):
 		e.begin(record)
 	case !leads && e.leadership != nil:
-		e.Log.Info("leadership lost", "term", e.leadership.term)
+		e.Log.Info("leadership lost", "term", e.leadership.term, "leader", record.Controller, "revision", e.Replica.Revision())
 		e.leadership = nil
 		e.OnDeposed()
 	}
@@ -170,7 +170,7 @@
 		elector: e, generation: e.Generation, replica: e.Replica, log: e.Log,
 		term: record.Term, lease: record.Lease, since: now, renewedAt: e.Replica.FreshAt(), storeHeardSince: now,
 	}
-	e.Log.Info("leadership gained", "term", record.Term)
+	e.Log.Info("leadership gained", "term", record.Term, "lease", record.Lease, "revision", e.Replica.Revision(), "staleness", e.Replica.Staleness())
 	e.OnElected(e.leadership)
 }
 
--- a/internal/coordination/jobs/cancel.go
+++ b/internal/coordination/jobs/cancel.go
@@ -47,9 +47,10 @@
 	s.Committer.Commit(protocol.Transaction{
 		Conditions: []protocol.Condition{{Key: storage.JobKey(id), Version: version}},
 		Operations: storage.EndJobOperations(id, final),
-	}, func(_ uint64, err error) {
+	}, func(revision uint64, err error) {
 		switch {
 		case err == nil:
+			s.Log.Debug("cancellation confirmed", "job", id, "revision", revision)
 			s.Remember(id, final)
 			s.cancellationConfirmed(id)
 			reply(receipt(id, final.Stage))
--- a/internal/coordination/jobs/status.go
+++ b/internal/coordination/jobs/status.go
@@ -17,10 +17,17 @@
 			reply(api.FromError(err))
 			return
 		}
+		s.logAnswer(status)
 		reply(api.OK(status))
 	})
 }
 
+// logAnswer says what a user is told of a job, and on what that rests.
+func (s *Service) logAnswer(status *protocol.JobStatus) {
+	s.Log.Debug("job answered", "job", status.ID, "stage", status.Stage, "done", status.Done,
+		"revision", s.Replica.Revision(), "staleness", s.Replica.Staleness())
+}
+
 // checkRequest returns the error of a request about a job that need not be looked up.
 func (s *Service) checkRequest(id string) error {
 	if !protocol.ValidJobID(id) {
--- a/internal/coordination/jobs/submit.go
+++ b/internal/coordination/jobs/submit.go
@@ -97,9 +97,10 @@
 	s.Committer.Commit(protocol.Transaction{
 		Conditions: []protocol.Condition{{Key: storage.JobKey(spec.ID)}, {Key: storage.FinalKey(spec.ID)}},
 		Operations: []protocol.Operation{put},
-	}, func(_ uint64, err error) {
+	}, func(revision uint64, err error) {
 		switch {
 		case err == nil:
+			s.Log.Debug("submission accepted", "job", spec.ID, "stage", stage, "revision", revision)
 			s.recent.add(spec.ID, spec.Kind, s.Generation.Now())
 			if cancelled {
 				s.Remember(spec.ID, final)
--- a/internal/coordination/provisioning/adoption.go
+++ b/internal/coordination/provisioning/adoption.go
@@ -55,13 +55,24 @@
 	}
 }
 
+// How the leader learned of the machines of a new group, as in log lines.
+const (
+	originCreated = "created" // the cloud's answer to a request
+	originFound   = "found"   // a heartbeat, or the cloud's list
+)
+
 // add makes a group to be recorded.
-func (a *adoptions) add(record storage.MachineGroupRecord) {
+func (a *adoptions) add(record storage.MachineGroupRecord, origin string) {
 	record.FencingToken = a.Leadership.NextFencingToken()
-	a.groups = append(a.groups, &pendingGroup{id: groupID(record.FencingToken), record: record})
+	id := groupID(record.FencingToken)
+	a.groups = append(a.groups, &pendingGroup{id: id, record: record})
+	names := make([]string, 0, len(record.Machines))
 	for _, entry := range record.Machines {
 		a.machines[entry.Name] = true
+		names = append(names, entry.Name)
 	}
+	a.Log.Info("machine group added", "group", id, "shard", record.Shard, "token", record.FencingToken, "machines", names,
+		"origin", origin, "revision", a.Replica.Revision(), "term", a.Leadership.Term())
 }
 
 // addCreated makes groups of machines that were created together.
@@ -71,7 +82,7 @@
 		for _, name := range part {
 			record.Machines = append(record.Machines, storage.MachineEntry{Name: name})
 		}
-		a.add(record)
+		a.add(record, originCreated)
 	}
 }
 
@@ -98,7 +109,7 @@
 			continue
 		}
 		if len(record.Machines) > 0 && (!machine.sameKind(last) || len(record.Machines) >= a.machinesPerGroup(name)) {
-			a.add(record)
+			a.add(record, originFound)
 			record.Machines = nil
 		}
 		record.Type, record.Zone, record.Spot, record.RentedAtMS = machine.machineType, machine.zone, machine.spot, machine.createdAtMS
@@ -106,7 +117,7 @@
 		last = machine
 	}
 	if len(record.Machines) > 0 {
-		a.add(record)
+		a.add(record, originFound)
 	}
 	clear(a.found)
 }
--- a/internal/coordination/provisioning/scale_outs.go
+++ b/internal/coordination/provisioning/scale_outs.go
@@ -86,6 +86,8 @@
 		s.drop(call)
 		s.onRefused() // the demand goes to the next pool at once
 	case errors.Is(err, protocol.ErrOutcomeUnknown):
+		s.Log.Info("creation not answered", "request", call.Request, "count", call.Count, "type", call.Type, "zone", call.Zone, "spot", call.Spot,
+			"shard", call.shard, "term", s.Leadership.Term(), "err", err)
 		call.RetryAt(s.now() + s.Generation.Jitter(scaleOutRetryPause))
 	default:
 		s.Log.Debug("machines not created", "err", err)
@@ -96,7 +98,7 @@
 // onCreated records the machines that a request has created.
 func (s *scaleOuts) onCreated(call *scaleOutCall, names []string) {
 	pool := s.poolOf(call)
-	s.Log.Info("machines created", "count", len(names), "type", call.Type, "zone", call.Zone, "spot", call.Spot, "term", s.Leadership.Term())
+	s.Log.Info("machines created", "request", call.Request, "machines", names, "shard", call.shard, "count", len(names), "type", call.Type, "zone", call.Zone, "spot", call.Spot, "term", s.Leadership.Term())
 	s.adoptions.addCreated(storage.MachineGroupRecord{
 		Type: call.Type, Zone: call.Zone, Spot: call.Spot, Shard: call.shard, RentedAtMS: s.wallMS(),
 	}, names)
--- a/internal/coordination/reconcile/commands.go
+++ b/internal/coordination/reconcile/commands.go
@@ -29,6 +29,7 @@
 	for _, attempt := range attemptsInOrder(agent) {
 		if command, needed := r.commandFor(attempt); needed {
 			commands = append(commands, command)
+			r.logCommand(attempt, command.Verb)
 		}
 	}
 	return commands
@@ -63,6 +64,7 @@
 	for _, ref := range storage.SortedTasks(agent.attempts) {
 		if attempt := agent.attempts[ref]; attempt.live() && attempt.stop.requested {
 			commands = append(commands, attempt.stopNow(r.now()))
+			r.logCommand(attempt, protocol.VerbStop)
 		}
 	}
 	return commands
--- a/internal/coordination/reconcile/heartbeat.go
+++ b/internal/coordination/reconcile/heartbeat.go
@@ -27,6 +27,7 @@
 	r.observeHeartbeat(agent, heartbeat, true)
 	contact.lastAnsweredAt = r.now()
 	commands := r.commandsFor(agent)
+	r.logHeartbeatAnswer(agent, len(commands))
 	reply(protocol.AgentHeartbeatAnswer{FencingToken: agent.fence.current, Commands: commands})
 	if !agent.fence.confirmed {
 		r.sendCommands(agent)
--- a/internal/coordination/reconcile/reconciler.go
+++ b/internal/coordination/reconcile/reconciler.go
@@ -99,9 +99,11 @@
 		if writer := r.writers[shard]; writer != nil && !holds {
 			writer.retired = true
 			delete(r.writers, shard)
+			r.logLetGo(shard)
 		}
 		if r.writers[shard] == nil && holds && shard < r.View.JobShards {
 			r.addWriter(shard)
+			r.logTakenUp(shard)
 		}
 	}
 }
@@ -155,6 +157,7 @@
 func (r *Reconciler) adopt(agent *agent) {
 	r.agents.insert(agent)
 	intents := agent.machine.Intents
+	r.logMachineTakenUp(agent)
 	for _, ref := range storage.SortedTasks(intents) {
 		intent := intents[ref]
 		former := &attempt{
@@ -179,6 +182,7 @@
 // release drops an agent that is no longer held, without deciding anything about its
 // tasks.
 func (r *Reconciler) release(agent *agent) {
+	r.logMachineLetGo(agent)
 	for _, ref := range storage.SortedTasks(agent.attempts) {
 		r.removeAttempt(agent.attempts[ref])
 	}
@@ -251,6 +255,9 @@
 // HoldsJobShards reports whether this controller holds any job shard.
 func (r *Reconciler) HoldsJobShards() bool { return len(r.writers) > 0 }
 
+// JobShardsHeld is how many job shards this controller holds.
+func (r *Reconciler) JobShardsHeld() int { return len(r.writers) }
+
 // AttemptsExhausted reports whether the attempt numbers of the grants held are used up:
 // the holder must start over under other grants.
 func (r *Reconciler) AttemptsExhausted() bool { return r.attemptCounter >= r.MaxAttempts }
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -15,6 +15,16 @@
 	jobsAwaitingDependencies atomic.Int64
 	oversizedValues          atomic.Int64
 	nextGaugesAt             time.Duration // when the gauges are counted again
+	standing                 atomic.Pointer[Standing]
+}
+
+// Standing is what a controller takes itself for, and how much it has read of the records.
+type Standing struct {
+	Leading   bool
+	Term      uint64 // the highest that it has read
+	JobShards int    // that it holds
+	Revision  uint64 // of the store, up to which it has read
+	Staleness time.Duration
 }
 
 // Stats are a controller's counts.
@@ -24,12 +34,18 @@
 	JobsCancelledByDependency uint64 // jobs of its shards that were cancelled with a dependency
 	JobsAwaitingDependencies  int64  // unfinished jobs of its shards that wait for dependencies
 	OversizedValues           int64  // values of its shards and, on the leader, machine groups over the limit in force
+	Standing                  Standing
 }
 
 // Stats returns the counts; it may be called from any goroutine.
 func (c *Controller) Stats() Stats {
 	counters := c.jobs.Counters()
+	standing := Standing{}
+	if noted := c.stats.standing.Load(); noted != nil {
+		standing = *noted
+	}
 	return Stats{
+		Standing:                  standing,
 		Passes:                    c.stats.passes.Load(),
 		JobsReleased:              counters.Released,
 		JobsCancelledByDependency: counters.CancelledWithAnother,
@@ -38,6 +54,17 @@
 	}
 }
 
+// noteStanding notes for other goroutines how this controller stands.
+func (c *Controller) noteStanding() {
+	c.stats.standing.Store(&Standing{
+		Leading:   c.leader != nil,
+		Term:      c.replica.View.Term,
+		JobShards: c.reconciler.JobShardsHeld(),
+		Revision:  c.replica.Revision(),
+		Staleness: c.replica.Staleness(),
+	})
+}
+
 // refreshGauges counts what the gauges show.
 func (c *Controller) refreshGauges() {
 	if c.Clock.Now() < c.stats.nextGaugesAt {
