Provisioning: a late answer to a creation records no machine a second time

Cause: machines whose creation had no answer come up, are adopted from their heartbeats into the batch shard and get work. The repeat's answer named them and addCreated put them into another group, of the shard that had asked: adoption asked whether a machine is in a group already, creation did not. The holder let them go with their tasks and started these elsewhere. Change: both ways ask the same question, of the view and of the groups still to be written.

--- a/internal/coordination/provisioning/adoption.go
+++ b/internal/coordination/provisioning/adoption.go
@@ -50,7 +50,7 @@
 
 // adopt takes up a machine that was found.
 func (a *adoptions) adopt(name string, m unrecordedMachine) {
-	if !a.machines[name] {
+	if !a.adopted(name) {
 		a.found[name] = m
 	}
 }
@@ -75,9 +75,16 @@
 		"origin", origin, "revision", a.Replica.Revision(), "term", a.Leadership.Term())
 }
 
-// addCreated makes groups of machines that were created together.
+// addCreated makes groups of machines that were created together. The answer that names them
+// may come long after they are up: those that were found meanwhile stay in the group that
+// they were adopted into. In a second group, of another shard, they would leave their holder
+// without its word that nothing runs on them.
 func (a *adoptions) addCreated(record storage.MachineGroupRecord, names []string) {
-	for part := range slices.Chunk(names, a.machinesPerGroup(names[0])) { // at least one was created
+	names = slices.DeleteFunc(slices.Clone(names), a.adopted)
+	if len(names) == 0 {
+		return
+	}
+	for part := range slices.Chunk(names, a.machinesPerGroup(names[0])) {
 		record.Machines = nil
 		for _, name := range part {
 			record.Machines = append(record.Machines, storage.MachineEntry{Name: name})
@@ -86,6 +93,11 @@
 	}
 }
 
+// adopted reports whether a machine is in a group, be it one that is not in the view yet.
+func (a *adoptions) adopted(name string) bool {
+	return a.machines[name] || a.findRecorded(name) != nil
+}
+
 // write records the groups of machines that were created or found.
 func (a *adoptions) write() {
 	now := a.now()
@@ -105,7 +117,7 @@
 	record := storage.MachineGroupRecord{Shard: storage.BatchShard}
 	for _, name := range slices.Sorted(maps.Keys(a.found)) {
 		machine := a.found[name]
-		if a.findRecorded(name) != nil || a.machines[name] {
+		if a.adopted(name) {
 			continue
 		}
 		if len(record.Machines) > 0 && (!machine.sameKind(last) || len(record.Machines) >= a.machinesPerGroup(name)) {
--- a/internal/scenario/agent_link.go
+++ b/internal/scenario/agent_link.go
@@ -37,8 +37,12 @@
 	case agent == nil || !sim.reachable(l.process.host, agent):
 		delivery.fail()
 	case agent.partitioned || agent.isPaused():
-		// Held back, and carried out once that ends.
-		agent.heldBack = append(agent.heldBack, func() { agent.execute(request) })
+		// Held back, and carried out once that ends, if the machine is still there.
+		agent.heldBack = append(agent.heldBack, func() {
+			if !agent.dead {
+				agent.execute(request)
+			}
+		})
 		delivery.fail()
 	case sim.network.commands.delayedShare > 0 && sim.rand.Float64() < sim.network.commands.delayedShare:
 		delivery.deliverLate(agent)
