Reconcile: a holder keeps the attempts on a machine that leaves its shard without proof

Cause: a holder let a machine go as soon as a record had it in another shard or in no group, and forgot the attempts there: it relied on the leader to move only what the holder had called empty, and nobody checked that when the record was read. Change: such a machine stays with its attempts, takes nothing new, and is asked under a token that fences nobody; each attempt ends by what the machine says, its job's completion, the record of the machine's deletion, or, where no group names it, the end of the agent's lease. Whoever takes the shard over next finds these attempts in its pages. That no group names a machine is not taken for its deletion any more.

--- a/internal/coordination/reconcile/agent.go
+++ b/internal/coordination/reconcile/agent.go
@@ -22,7 +22,9 @@
 	imageWantedAt  map[int]time.Duration // by image: when it was last wanted here
 	terminationAt  time.Duration         // when the cloud takes the machine; 0: not announced
 	needsAttention bool                  // there may be commands to send
-	namesCheckedAt time.Duration         // when pages that name it were last looked for
+	// displaced: the records have the machine elsewhere, and it was not let go.
+	displaced      displacement
+	namesCheckedAt time.Duration // when pages that name it were last looked for
 }
 
 func newAgent(machine *storage.Machine, granted uint64, now time.Duration) *agent {
--- a/internal/coordination/reconcile/commands.go
+++ b/internal/coordination/reconcile/commands.go
@@ -122,7 +122,7 @@
 		return
 	}
 	now := r.now()
-	if now < channel.NotBefore() || agent.address == "" || !agent.machine.Exists() {
+	if now < channel.NotBefore() || agent.address == "" || !agent.machine.Exists() || agent.isDisplaced() {
 		return
 	}
 	commands := r.commandsFor(agent)
--- a/internal/coordination/reconcile/placer.go
+++ b/internal/coordination/reconcile/placer.go
@@ -41,7 +41,7 @@
 // commands, while its own heartbeats reach nobody, does not: its lease runs out.
 func (r *Reconciler) schedulable(agent *agent, now time.Duration) bool {
 	silence := now - agent.contact.silentSince()
-	return r.Leases.MayActFor(agent.shard) && agent.fence.confirmed && !agent.reachability.suspect &&
+	return r.Leases.MayActFor(agent.shard) && !agent.isDisplaced() && agent.fence.confirmed && !agent.reachability.suspect &&
 		agent.machine.Phase == storage.PhaseActive && agent.terminationAt == 0 && !agent.health.quarantined(now) &&
 		silence < 2*r.AgentSettings.HeartbeatInterval()+silenceMargin
 }
--- a/internal/coordination/reconcile/reconciler.go
+++ b/internal/coordination/reconcile/reconciler.go
@@ -66,16 +66,9 @@
 
 // syncMachines takes up the machines that are granted and lets go of the others.
 func (r *Reconciler) syncMachines() {
-	r.syncWriters()
+	takenUp := r.syncWriters()
 	for _, agent := range slices.Clone(r.agents.sorted) {
-		_, machine := r.View.Machines.Find(agent.machine.Name)
-		same := machine == agent.machine
-		if same && !machine.Exists() {
-			r.endAll(agent, "machine is gone")
-		}
-		if !same || !machine.Exists() || r.writers[machine.Shard] == nil || agent.shard != machine.Shard {
-			r.release(agent)
-		}
+		r.syncAgent(agent)
 	}
 	now := r.now()
 	r.View.Machines.All(func(_ int, machine *storage.Machine) {
@@ -89,11 +82,35 @@
 			r.adopt(newAgent(machine, granted, now))
 		}
 	})
+	for _, shard := range takenUp {
+		r.adoptDisplaced(shard)
+	}
+}
+
+// syncAgent keeps an agent whose machine is still of its shard, and lets go of another.
+func (r *Reconciler) syncAgent(agent *agent) {
+	machine := agent.machine
+	_, recorded := r.View.Machines.Find(machine.Name)
+	switch {
+	case recorded != machine:
+		r.release(agent) // neither a group nor an intent named it for a moment
+	case machine.Deleted():
+		r.endAll(agent, "machine is gone")
+		r.release(agent)
+	case r.writers[agent.shard] == nil:
+		r.release(agent) // whoever holds the shard finds the intents in the records
+	case machine.Exists() && machine.Shard == agent.shard:
+		r.reinstate(agent)
+	case machine.Exists() && r.writers[machine.Shard] != nil:
+		r.release(agent) // and taken up again, with its intents
+	default:
+		r.keepOrRelease(agent)
+	}
 }
 
 // syncWriters makes a record writer for each job shard that is newly held, and drops those
-// of shards that are not held any more.
-func (r *Reconciler) syncWriters() {
+// of shards that are not held any more. It returns those that are newly held.
+func (r *Reconciler) syncWriters() (takenUp []int) {
 	for shard := range r.View.Grants {
 		holds := r.Leases.Holds(shard)
 		if writer := r.writers[shard]; writer != nil && !holds {
@@ -104,8 +121,10 @@
 		if r.writers[shard] == nil && holds && shard < r.View.JobShards {
 			r.addWriter(shard)
 			r.logTakenUp(shard)
+			takenUp = append(takenUp, shard)
 		}
 	}
+	return takenUp
 }
 
 // addWriter makes the record writer of a shard and gives it what the records say.
@@ -156,29 +175,33 @@
 // machine, for quota as for duplicates, until a fenced heartbeat shows otherwise.
 func (r *Reconciler) adopt(agent *agent) {
 	r.agents.insert(agent)
-	intents := agent.machine.Intents
 	r.logMachineTakenUp(agent)
-	for _, ref := range storage.SortedTasks(intents) {
-		intent := intents[ref]
-		former := &attempt{
-			job:       r.View.Jobs.Get(ref.Job),
-			task:      ref.Task,
-			number:    intent.Attempt,
-			agent:     agent,
-			start:     startCommand{token: agent.fence.highestStart},
-			inherited: true,
-			plannedAt: agent.contact.heldSince,
-		}
-		former.stop.requested = !former.job.Active()
-		r.addAttempt(former)
-		r.writers[agent.shard].intentPageAt(intent.Page).add(former)
+	for _, ref := range storage.SortedTasks(agent.machine.Intents) {
+		r.inherit(agent, ref)
 	}
-	if len(intents) > 0 {
+	if len(agent.attempts) > 0 {
 		agent.needsAttention = true
 		r.sendCommands(agent)
 	}
 }
 
+// inherit counts a recorded intent as an attempt that may be on its machine.
+func (r *Reconciler) inherit(agent *agent, ref storage.TaskRef) {
+	intent := agent.machine.Intents[ref]
+	former := &attempt{
+		job:       r.View.Jobs.Get(ref.Job),
+		task:      ref.Task,
+		number:    intent.Attempt,
+		agent:     agent,
+		start:     startCommand{token: agent.fence.highestStart},
+		inherited: true,
+		plannedAt: agent.contact.heldSince,
+	}
+	former.stop.requested = !former.job.Active()
+	r.addAttempt(former)
+	r.writers[agent.shard].intentPageAt(intent.Page).add(former)
+}
+
 // release drops an agent that is no longer held, without deciding anything about its
 // tasks.
 func (r *Reconciler) release(agent *agent) {
@@ -231,7 +254,7 @@
 	lease := r.AgentSettings.Lease()
 	for _, agent := range r.agents.sorted {
 		contact := &agent.contact
-		if len(agent.attempts) > 0 {
+		if len(agent.attempts) > 0 && !agent.heldByAnother() {
 			// The agent's lease has provably expired: neither this holder nor, until its
 			// knowledge ran out, a former one can have renewed it since.
 			expiry := contact.lastRenewedAt(r.MaxStaleness) + lease + lease/1000 + config.LeaseMargin
@@ -243,6 +266,7 @@
 			r.sendCommands(agent)
 		}
 	}
+	r.settleDisplacedAgents()
 	for shard := range r.View.Grants {
 		if writer := r.writers[shard]; writer != nil {
 			writer.flushSoon()
--- a/internal/coordination/reconcile/statuses.go
+++ b/internal/coordination/reconcile/statuses.go
@@ -8,7 +8,7 @@
 func (r *Reconciler) MachineStatuses() []protocol.MachineStatus {
 	statuses := make([]protocol.MachineStatus, 0, len(r.agents.sorted))
 	for _, agent := range r.agents.sorted {
-		if r.Leases.Holds(agent.shard) {
+		if r.Leases.Holds(agent.shard) && !agent.isDisplaced() {
 			statuses = append(statuses, r.machineStatus(agent))
 		}
 	}
--- a/internal/storage/machine.go
+++ b/internal/storage/machine.go
@@ -25,6 +25,10 @@
 // Exists reports whether a group names the machine and it is not deleted.
 func (m *Machine) Exists() bool { return m.Group != "" && m.Phase != PhaseDeleted }
 
+// Deleted reports whether a record says that the cloud has deleted the machine. That no group
+// names it does not say so: it may be in another that was not read yet.
+func (m *Machine) Deleted() bool { return m.Group != "" && m.Phase == PhaseDeleted }
+
 // MachineGroup is a MachineGroupRecord with its version.
 type MachineGroup struct {
 	MachineGroupRecord
