--- a/internal/coordination/reconcile/agent.go
+++ b/internal/coordination/reconcile/agent.go
@@ -8,10 +8,10 @@
 
 // agent is what the holder of a shard knows of one machine and its agent.
 type agent struct {
-	machine *storage.Machine
-	address string // from the record or, earlier, from the agent itself
-	shard   int
-	fence   fence
+	machine        *storage.Machine
+	address        string // from the record or, earlier, from the agent itself
+	shard          int
+	fence          fence
 	contact        contact
 	reachability   reachability
 	health         health
