Reconcile: a holding that was interrupted is told from one that went on

Cause: whether a shard was still held was asked of the last grant alone. Where the grant to another controller and the one back were read at once, the holder kept what it had known, and the other's attempts were none of its business: their tasks were started a second time. Change: the view notes the version since which a shard's holder holds it without a break. If it is another than when the shard was taken up, all that is known of the shard is dropped and taken up from the records.

--- a/internal/coordination/reconcile/record_writer.go
+++ b/internal/coordination/reconcile/record_writer.go
@@ -25,6 +25,7 @@
 	nextFlushAt     time.Duration
 	maxOperations   int                     // operations in a transaction; fewer after a refusal
 	retired         bool                    // the shard is not held any more
+	heldSince       uint64                  // storage.Grant.HeldSince when the shard was taken up
 	tracks          func(*jobProgress) bool // whether a job's progress is still kept
 	schedulePass    func()
 }
@@ -43,7 +44,7 @@
 
 // newRecordWriter makes the writer of a shard, with the pages that the records have.
 func newRecordWriter(config *Config, shard int) *recordWriter {
-	w := &recordWriter{Config: config, shard: shard, maxOperations: maxOperationsPerWrite}
+	w := &recordWriter{Config: config, shard: shard, maxOperations: maxOperationsPerWrite, heldSince: config.View.Grants[shard].HeldSince}
 	w.View.EachIntentPage(shard, func(number, entries int) {
 		page := w.intentPageAt(number)
 		if entries > 0 {
--- a/internal/coordination/reconcile/sync.go
+++ b/internal/coordination/reconcile/sync.go
@@ -63,8 +63,6 @@
 	case machine.Deleted():
 		r.endAll(agent, "machine is gone")
 		r.release(agent)
-	case r.writers[agent.shard] == nil:
-		r.release(agent) // whoever holds the shard finds the intents in the records
 	case machine.Exists() && machine.Shard == agent.shard:
 		r.reinstate(agent)
 	case machine.Exists() && r.writers[machine.Shard] != nil:
@@ -75,14 +73,16 @@
 }
 
 // syncWriters makes a record writer for each job shard that is newly held, and drops those
-// of shards that are not held any more. It returns those that are newly held.
+// of shards that are not held any more, or that another held since they were taken up. It
+// returns those that are newly held.
 func (r *Reconciler) syncWriters() (takenUp []int) {
 	for shard := range r.View.Grants {
 		holds := r.Leases.Holds(shard)
-		if writer := r.writers[shard]; writer != nil && !holds {
+		if writer := r.writers[shard]; writer != nil && (!holds || writer.heldSince != r.View.Grants[shard].HeldSince) {
 			writer.retired = true
 			delete(r.writers, shard)
 			r.logLetGo(shard)
+			r.forgetShard(shard)
 		}
 		if r.writers[shard] == nil && holds && shard < r.View.JobShards {
 			r.addWriter(shard)
@@ -93,6 +93,21 @@
 	return takenUp
 }
 
+// forgetShard drops all that is known of a shard. It may be held again by now: what another
+// holder did in between is in the records alone.
+func (r *Reconciler) forgetShard(shard int) {
+	for _, agent := range slices.Clone(r.agents.sorted) {
+		if agent.shard == shard {
+			r.release(agent)
+		}
+	}
+	for job, progress := range r.jobs {
+		if job.Shard == shard && progress.attempts == 0 {
+			delete(r.jobs, job)
+		}
+	}
+}
+
 // addWriter makes the record writer of a shard and gives it what the records say.
 func (r *Reconciler) addWriter(shard int) {
 	writer := newRecordWriter(&r.Config, shard)
--- a/internal/storage/shards.go
+++ b/internal/storage/shards.go
@@ -15,6 +15,15 @@
 type Grant struct {
 	GrantRecord
 	Version uint64
+	// HeldSince is the version with which the present incarnation of the holder was granted the
+	// shard. Others that only raise its token leave it; any other holder in between changes it,
+	// though both grants are read at once.
+	HeldSince uint64
+}
+
+// sameHolder reports whether a grant is to the holder of another.
+func (g *GrantRecord) sameHolder(other *GrantRecord) bool {
+	return g.Controller == other.Controller && g.Incarnation == other.Incarnation
 }
 
 // Liveness is the last LivenessRecord of a controller with its version.
@@ -66,7 +75,11 @@
 	}
 	grant, newer, err := decodeNewer[GrantRecord](stored, v.Grants[shard].Version)
 	if newer {
-		v.Grants[shard] = Grant{grant, stored.version}
+		heldSince := stored.version
+		if former := &v.Grants[shard]; grant.sameHolder(&former.GrantRecord) {
+			heldSince = former.HeldSince
+		}
+		v.Grants[shard] = Grant{GrantRecord: grant, Version: stored.version, HeldSince: heldSince}
 		v.FleetRevision++
 	}
 	return err
