--- a/internal/coordination/reconcile/record_writer.go
+++ b/internal/coordination/reconcile/record_writer.go
@@ -25,7 +25,7 @@
 	nextFlushAt     time.Duration
 	maxOperations   int                     // operations in a transaction; fewer after a refusal
 	retired         bool                    // the shard is not held any more
-	heldSince       uint64                  // storage.Grant.HeldSince when the shard was taken up
+	heldSince       uint64                  // View.HeldSince when the shard was taken up
 	tracks          func(*jobProgress) bool // whether a job's progress is still kept
 	schedulePass    func()
 }
@@ -44,7 +44,7 @@
 
 // newRecordWriter makes the writer of a shard, with the pages that the records have.
 func newRecordWriter(config *Config, shard int) *recordWriter {
-	w := &recordWriter{Config: config, shard: shard, maxOperations: maxOperationsPerWrite, heldSince: config.View.Grants[shard].HeldSince}
+	w := &recordWriter{Config: config, shard: shard, maxOperations: maxOperationsPerWrite, heldSince: config.View.HeldSince(shard)}
 	w.View.EachIntentPage(shard, func(number, entries int) {
 		page := w.intentPageAt(number)
 		if entries > 0 {
--- a/internal/coordination/reconcile/sync.go
+++ b/internal/coordination/reconcile/sync.go
@@ -78,7 +78,7 @@
 func (r *Reconciler) syncWriters() (takenUp []int) {
 	for shard := range r.View.Grants {
 		holds := r.Leases.Holds(shard)
-		if writer := r.writers[shard]; writer != nil && (!holds || writer.heldSince != r.View.Grants[shard].HeldSince) {
+		if writer := r.writers[shard]; writer != nil && (!holds || writer.heldSince != r.View.HeldSince(shard)) {
 			writer.retired = true
 			delete(r.writers, shard)
 			r.logLetGo(shard)
--- a/internal/storage/shards.go
+++ b/internal/storage/shards.go
@@ -15,10 +15,6 @@
 type Grant struct {
 	GrantRecord
 	Version uint64
-	// HeldSince is the version with which the present incarnation of the holder was granted the
-	// shard. Others that only raise its token leave it; any other holder in between changes it,
-	// though both grants are read at once.
-	HeldSince uint64
 }
 
 // sameHolder reports whether a grant is to the holder of another.
@@ -38,8 +34,19 @@
 	JobShards        int     // shards that own jobs, from 0 on; 0 while their number is not settled
 	JobShardsVersion uint64
 	Liveness         map[string]Liveness // by controller
+	heldSince        []uint64            // by shard, see HeldSince
 }
 
+// newShardAssignment makes an assignment in which no shard was granted yet.
+func newShardAssignment(shards int) ShardAssignment {
+	return ShardAssignment{Grants: make([]Grant, shards), Liveness: map[string]Liveness{}, heldSince: make([]uint64, shards)}
+}
+
+// HeldSince is the version with which the present incarnation of a shard's holder was granted
+// it. Later grants that only raise its token leave it as it is; another holder in between
+// changes it, though both grants are read at once.
+func (a *ShardAssignment) HeldSince(shard int) uint64 { return a.heldSince[shard] }
+
 // GrantCondition makes a transaction depend on the grant of a shard as it stands.
 func (a *ShardAssignment) GrantCondition(shard int) protocol.Condition {
 	return protocol.Condition{Key: GrantKey(shard), Version: a.Grants[shard].Version}
@@ -75,11 +82,10 @@
 	}
 	grant, newer, err := decodeNewer[GrantRecord](stored, v.Grants[shard].Version)
 	if newer {
-		heldSince := stored.version
-		if former := &v.Grants[shard]; grant.sameHolder(&former.GrantRecord) {
-			heldSince = former.HeldSince
+		if former := &v.Grants[shard]; !grant.sameHolder(&former.GrantRecord) {
+			v.heldSince[shard] = stored.version
 		}
-		v.Grants[shard] = Grant{GrantRecord: grant, Version: stored.version, HeldSince: heldSince}
+		v.Grants[shard] = Grant{grant, stored.version}
 		v.FleetRevision++
 	}
 	return err
--- a/internal/storage/shards_test.go
+++ b/internal/storage/shards_test.go
@@ -17,3 +17,23 @@
 		}
 	}
 }
+
+// TestHeldSince: a grant that only raises the token leaves it; another controller or another
+// incarnation in between changes it, though the last grant is to the same holder as before.
+func TestHeldSince(t *testing.T) {
+	v := newTestView(t, 1)
+	grant := func(controller string, incarnation, token uint64) uint64 {
+		v.put(GrantKey(0), GrantRecord{Controller: controller, Incarnation: incarnation, FencingToken: token})
+		return v.HeldSince(0)
+	}
+	first := grant("a", 1, 1)
+	if raised := grant("a", 1, 2); raised != first {
+		t.Errorf("with a raised token held since %d, not %d", raised, first)
+	}
+	other := grant("b", 1, 3)
+	back := grant("a", 1, 4)
+	restarted := grant("a", 2, 5)
+	if first >= other || other >= back || back >= restarted {
+		t.Errorf("held since %d, %d, %d and %d", first, other, back, restarted)
+	}
+}
--- a/internal/storage/view.go
+++ b/internal/storage/view.go
@@ -45,7 +45,7 @@
 // keeps and completes the teams.
 func NewView(teams []Team, shards int) *View {
 	return &View{
-		ShardAssignment: ShardAssignment{Grants: make([]Grant, shards), Liveness: map[string]Liveness{}},
+		ShardAssignment: newShardAssignment(shards),
 		Quotas:          newQuotas(teams),
 		MachineGroups:   map[string]*MachineGroup{},
 		intentPages:     map[PageID]*recordPage[intentEntry]{},
