review: case 2, a task runs on two machines after a machine restart

Cause: an attempt that a later report does not list counts as over, though the command that started it is still valid under the token in force. After a restart of the machine the task is started elsewhere, and a late copy of the command starts it once more.

--- a/review/rig/case_line_limit.go
+++ b/review/rig/case_line_limit.go
@@ -18,11 +18,8 @@
 // the trouble the array has many small tasks, all of which fit on that machine; without it has
 // few large tasks that take as much in sum.
 func playLineLimit(r *rig, trouble bool) (int, string) {
-	if err := r.startAll(); err != nil {
-		return exitNotRun, err.Error()
-	}
-	if !r.waitReady(20*time.Second, 0, 1, 2) {
-		return exitNotRun, "the controllers did not become healthy"
+	if problem := r.begin(); problem != "" {
+		return exitNotRun, problem
 	}
 	service := newJob(412, "standing", 1, 2, 0)
 	service.Lane, service.Rank, service.Builds, service.Loaner = "board-live", "critical", []string{"kvari-large"}, false
--- a/review/rig/checker.go
+++ b/review/rig/checker.go
@@ -166,13 +166,19 @@
 	if told := c.toldAt[id]; !told.IsZero() && time.Since(told) > c.rig.seconds(c.rig.set.cancel) {
 		c.fail("ran_cancelled: %s starts %.1f s after its cancellation", t.Piece, time.Since(told).Seconds())
 	}
+	c.checkPlace(w, t)
+	c.checkQuota()
+}
+
+// checkPlace checks the machine of a task that starts.
+func (c *checker) checkPlace(w *worker, t *workerTask) {
 	spec := t.spec
 	if w.host.spot && !spec.Loaner || spec.Yard != nil && *spec.Yard != w.host.zone {
 		c.fail("wrong_place: %s on %s", t.Piece, w.name)
 	}
 	inZone, elsewhere := 0, 0
 	for piece, machines := range c.on {
-		if jobOf(piece) != id {
+		if jobOf(piece) != spec.ID {
 			continue
 		}
 		for m := range machines {
@@ -186,6 +192,10 @@
 	if spec.Same && elsewhere > 0 || spec.Spread && inZone > (spec.Pieces+1)/2 {
 		c.fail("wrong_place: %s in zone %s", t.Piece, w.host.zone)
 	}
+}
+
+// checkQuota checks what the teams use.
+func (c *checker) checkQuota() {
 	used := map[string]float64{}
 	for piece, machines := range c.on {
 		if spec := c.rig.jobs[jobOf(piece)]; spec != nil {
--- a/review/rig/cloud.go
+++ b/review/rig/cloud.go
@@ -5,8 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sort"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -95,7 +96,7 @@
 			names = append(names, name)
 		}
 	}
-	sort.Strings(names)
+	slices.Sort(names)
 	most, _ := strconv.Atoi(r.URL.Query().Get("most"))
 	more := len(names) > most
 	names = names[:min(len(names), most)]
@@ -188,7 +189,7 @@
 			list = append(list, m.worker)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].name < list[j].name })
+	slices.SortFunc(list, func(a, b *worker) int { return strings.Compare(a.name, b.name) })
 	return list
 }
 
--- a/review/rig/extras.go
+++ b/review/rig/extras.go
@@ -13,11 +13,8 @@
 
 // playLineLimitCancel is no case of its own: an array whose tasks just fit into a report is cancelled.
 func playLineLimitCancel(r *rig, trouble bool) (int, string) {
-	if err := r.startAll(); err != nil {
-		return exitNotRun, err.Error()
-	}
-	if !r.waitReady(20*time.Second, 0, 1, 2) {
-		return exitNotRun, "the controllers did not become healthy"
+	if problem := r.begin(); problem != "" {
+		return exitNotRun, problem
 	}
 	service := newJob(412, "standing", 1, 2, 0)
 	service.Lane, service.Rank, service.Builds, service.Loaner = "board-live", "critical", []string{"kvari-large"}, false
@@ -49,11 +46,8 @@
 
 // playUnknownFieldMore is no case of its own: further fields that differ from known ones in case only.
 func playUnknownFieldMore(r *rig, _ bool) (int, string) {
-	if err := r.startAll(); err != nil {
-		return exitNotRun, err.Error()
-	}
-	if !r.waitReady(20*time.Second, 0, 1, 2) {
-		return exitNotRun, "the controllers did not become healthy"
+	if problem := r.begin(); problem != "" {
+		return exitNotRun, problem
 	}
 	r.submit(newJob(1, "sweep", 1, 1, 1), 30*time.Second)
 	send := func(number int, change func(string) string) {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -43,6 +44,7 @@
 	process            *exec.Cmd
 	exited             chan struct{}
 	expectExit         bool
+	oldProgram         string
 	reserved           []net.Listener // its ports, until it starts for the first time
 }
 
@@ -169,7 +171,7 @@
 			return strings.Fields(strings.Trim(value, `"`)), nil
 		}
 	}
-	return nil, fmt.Errorf("the deploy file has no run command")
+	return nil, errors.New("the deploy file has no run command")
 }
 
 func (r *rig) settingsOf(i int, cloud, state string) string {
@@ -189,7 +191,7 @@
 	fmt.Fprintf(&b, "\n[cluster.workers]\nreport_s = %.1f\nlease_s = %.1f\ngang_wait_s = 30.0\ngang_peer_s = 6.0\ncancel_s = %.1f\n", r.set.report, r.set.lease, r.set.cancel)
 	fmt.Fprintf(&b, "\n[cluster.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = %d.0\ntxn_ops = %d\n", r.set.rps, r.set.writeRPS, r.set.valueKB, r.set.txnOps)
 	fmt.Fprintf(&b, "\n[cluster.cloud]\nrps = %.1f\nlist_lag_s = %.1f\n", r.set.cloudRPS, r.set.listLag)
-	fmt.Fprintf(&b, "\n[cluster.limits]\ncores = 0.12\nmem_mb = 125.0\nfd_limit = 1500\n")
+	fmt.Fprint(&b, "\n[cluster.limits]\ncores = 0.12\nmem_mb = 125.0\nfd_limit = 1500\n")
 	return b.String()
 }
 
@@ -202,6 +204,9 @@
 	}
 	defer logFile.Close()
 	program := r.run[0]
+	if n.oldProgram != "" { // a version before, for the search only
+		program = n.oldProgram
+	}
 	if !filepath.IsAbs(program) {
 		program = filepath.Join(r.root, program)
 	}
--- a/review/rig/users.go
+++ b/review/rig/users.go
@@ -88,13 +88,13 @@
 }
 
 // submit submits a job until it is accepted or the time is over; it tries the given controllers in turn.
-func (r *rig) submit(spec *jobSpec, for_ time.Duration, nodes ...int) (int, string) {
+func (r *rig) submit(spec *jobSpec, limit time.Duration, nodes ...int) (int, string) {
 	r.upload(spec)
 	body := encode(spec)
 	r.check.submitted(spec)
-	return r.repeat(for_, nodes, func(i int) (int, string) { return r.say(i, "POST", "/submissions", body) }, func(status int) bool {
+	return r.repeat(limit, nodes, func(i int) (int, string) { return r.say(i, "POST", "/submissions", body) }, func(status int) bool {
 		return status == 201 || status == 200 || status == 400 || status == 422
-	}, func(status int, answer string) {
+	}, func(status int, _ string) {
 		if status == 201 || status == 200 {
 			r.check.accepted(spec.ID)
 		}
@@ -102,9 +102,9 @@
 }
 
 // cancel cancels a job until it is answered.
-func (r *rig) cancel(id string, for_ time.Duration, nodes ...int) (int, string) {
+func (r *rig) cancel(id string, limit time.Duration, nodes ...int) (int, string) {
 	r.check.cancelAsked(id)
-	return r.repeat(for_, nodes, func(i int) (int, string) { return r.say(i, "POST", "/submissions/"+id+"/withdraw", "") },
+	return r.repeat(limit, nodes, func(i int) (int, string) { return r.say(i, "POST", "/submissions/"+id+"/withdraw", "") },
 		func(status int) bool { return status == 200 },
 		func(status int, answer string) {
 			if status == 200 {
@@ -113,13 +113,13 @@
 		})
 }
 
-func (r *rig) repeat(for_ time.Duration, nodes []int, send func(int) (int, string), final func(int) bool, seen func(int, string)) (int, string) {
+func (r *rig) repeat(limit time.Duration, nodes []int, send func(int) (int, string), final func(int) bool, seen func(int, string)) (int, string) {
 	if len(nodes) == 0 {
 		for i := range r.nodes {
 			nodes = append(nodes, i)
 		}
 	}
-	end := time.Now().Add(for_)
+	end := time.Now().Add(limit)
 	for k := 0; ; k++ {
 		status, answer := send(nodes[k%len(nodes)])
 		if final(status) || time.Now().After(end) {
@@ -131,8 +131,8 @@
 }
 
 // waitReady waits until a controller can take requests.
-func (r *rig) waitReady(for_ time.Duration, nodes ...int) bool {
-	end := time.Now().Add(for_)
+func (r *rig) waitReady(limit time.Duration, nodes ...int) bool {
+	end := time.Now().Add(limit)
 	for time.Now().Before(end) {
 		ready := 0
 		for _, i := range nodes {
@@ -147,3 +147,20 @@
 	}
 	return false
 }
+
+// begin starts all controllers and waits until they are healthy.
+func (r *rig) begin() (problem string) {
+	if err := r.startAll(); err != nil {
+		return err.Error()
+	}
+	return r.awaitHealth()
+}
+
+// awaitHealth waits until the first three controllers are healthy; with more, one says that it is
+// not as long as it answers most of the workers.
+func (r *rig) awaitHealth() (problem string) {
+	if !r.waitReady(20*time.Second, 0, 1, 2) {
+		return "the controllers did not become healthy"
+	}
+	return ""
+}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -9,8 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 )
 
@@ -27,7 +25,6 @@
 	taskReport
 	spec  *jobSpec
 	timer *time.Timer
-	since time.Time
 }
 
 type order struct {
@@ -59,15 +56,10 @@
 	lastHigher time.Time
 
 	deaf       bool          // answers and direct commands are lost
-	mute       bool          // reports reach no controller
 	frozen     time.Time     // the machine hangs until then
-	extra      func() string // further JSON members of a report, each with a comma in front
+	life       int           // rises when the machine restarts
+	carriedOut []command     // direct commands with starts, for late copies
 	commandLag time.Duration // direct commands are carried out that much later
-	lastAnswer struct {
-		node  int
-		baton uint64
-		at    time.Time
-	}
 }
 
 func newWorker(r *rig, host *hostEntry) *worker {
@@ -111,6 +103,18 @@
 	}
 }
 
+// restart ends all that is on the machine, which is back within a moment. What PROTOCOL says of the
+// worker's numbers holds over the restart: the session ends with the lease only, messages are counted
+// on, and the highest token seen is kept.
+func (w *worker) restart() {
+	w.rig.mu.Lock()
+	defer w.rig.mu.Unlock()
+	w.rig.rec.add("%s: the machine restarts in session %d, after message %d; its tasks are gone", w.name, w.shift, w.tick)
+	w.clear()
+	w.life++
+	w.notify()
+}
+
 func (w *worker) clear() {
 	for _, t := range w.tasks {
 		w.endTimer(t)
@@ -153,8 +157,6 @@
 	}
 }
 
-func (w *worker) isFrozen() bool { return time.Now().Before(w.frozen) }
-
 // report encodes the worker's state; rig.mu must be held.
 func (w *worker) report() []byte {
 	w.tick++
@@ -162,14 +164,10 @@
 	for _, t := range w.tasks {
 		tasks = append(tasks, t.taskReport)
 	}
-	body := encode(map[string]any{
+	return []byte(encode(map[string]any{
 		"host": w.name, "address": w.address, "build": w.host.kind.Name, "yard": w.host.zone, "loaner": w.host.spot,
 		"shift": w.shift, "tick": w.tick, "baton": w.baton, "warnS": nil, "pieces": tasks,
-	})
-	if w.extra != nil {
-		body = strings.TrimSuffix(body, "}") + w.extra() + "}"
-	}
-	return []byte(body)
+	}))
 }
 
 func (w *worker) reportLoop() {
@@ -199,61 +197,29 @@
 func (w *worker) sendReport() time.Duration {
 	r := w.rig
 	r.mu.Lock()
-	for w.alive && w.isFrozen() {
-		r.mu.Unlock()
-		time.Sleep(20 * time.Millisecond)
-		r.mu.Lock()
-	}
-	if !w.alive {
-		r.mu.Unlock()
+	defer r.mu.Unlock()
+	if !w.awaitThaw() {
 		return -1
 	}
-	if w.mute {
-		w.lastReport = time.Now()
-		w.node = (w.node + 1) % len(r.nodes)
-		r.mu.Unlock()
-		return time.Second
-	}
-	sent, shift, node := time.Now(), w.shift, w.node
+	sent, shift, node, baton, life := time.Now(), w.shift, w.node, w.baton, w.life
 	w.lastReport = sent
 	body := w.report()
-	sentBaton := w.baton
-	url := "http://" + r.nodes[node].public + "/hello"
 	if len(body) > maxMessage {
 		r.largeReports++
 		r.rec.add("%s: a report has %d bytes", w.name, len(body))
 	}
+	url := "http://" + r.nodes[node].public + "/hello"
 	r.mu.Unlock()
 	status, answer, err := w.post(url, body)
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	for w.alive && w.isFrozen() {
-		r.mu.Unlock()
-		time.Sleep(20 * time.Millisecond)
-		r.mu.Lock()
-	}
-	if !w.alive {
+	switch {
+	case !w.awaitThaw():
 		return -1
-	}
-	if w.deaf {
-		w.node = (node + 1) % len(r.nodes)
-		return time.Second
-	}
-	if err != nil || status != 200 && status != 421 || time.Since(sent) > 4*time.Second {
-		w.node = (node + 1) % len(r.nodes)
-		return time.Second
-	}
-	if status == 421 {
-		var body struct {
-			Boss string `json:"boss"`
-		}
-		_ = json.Unmarshal(answer, &body)
-		for i := range r.nodes {
-			if r.nodes[i].name == body.Boss && i != node {
-				w.node = i
-				return time.Duration(1 + rand.Int64N(int64(500*time.Millisecond)))
-			}
-		}
+	case life != w.life: // the answer was for the worker before the restart
+		return time.Millisecond
+	case err == nil && status == http.StatusMisdirectedRequest && !w.deaf:
+		return w.redirect(node, answer)
+	case err != nil || status != http.StatusOK || w.deaf || time.Since(sent) > 4*time.Second:
 		w.node = (node + 1) % len(r.nodes)
 		return time.Second
 	}
@@ -262,10 +228,9 @@
 		Orders []order `json:"orders"`
 	}
 	_ = json.Unmarshal(answer, &commands)
-	r.rec.add("%s: report to %s (baton %d, %d tasks) answered 200 with baton %d and %d orders", w.name, r.nodes[node].name, sentBaton, len(w.tasks), commands.Baton, len(commands.Orders))
+	r.rec.add("%s: report to %s (baton %d, %d tasks) answered 200 with baton %d and %d orders", w.name, r.nodes[node].name, baton, len(w.tasks), commands.Baton, len(commands.Orders))
 	if commands.Baton >= w.baton && shift == w.shift {
 		w.leaseFrom = sent
-		w.lastAnswer.node, w.lastAnswer.baton, w.lastAnswer.at = node, commands.Baton, time.Now()
 		if r.onAnswer != nil {
 			r.onAnswer(w, node, sent, commands.Baton)
 		}
@@ -275,6 +240,33 @@
 	return 0
 }
 
+// awaitThaw waits until the machine no longer hangs, and reports whether it is still there. rig.mu
+// must be held; it is released meanwhile.
+func (w *worker) awaitThaw() bool {
+	for w.alive && time.Now().Before(w.frozen) {
+		w.rig.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		w.rig.mu.Lock()
+	}
+	return w.alive
+}
+
+// redirect follows a 421 and returns the wait before the next report.
+func (w *worker) redirect(node int, answer []byte) time.Duration {
+	var body struct {
+		Boss string `json:"boss"`
+	}
+	_ = json.Unmarshal(answer, &body)
+	for i := range w.rig.nodes {
+		if w.rig.nodes[i].name == body.Boss && i != node {
+			w.node = i
+			return time.Duration(1 + rand.Int64N(int64(500*time.Millisecond)))
+		}
+	}
+	w.node = (node + 1) % len(w.rig.nodes)
+	return time.Second
+}
+
 func (w *worker) post(url string, body []byte) (int, []byte, error) {
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
@@ -311,183 +303,3 @@
 		}
 	}
 }
-
-func (w *worker) find(piece string, try uint64) (int, *workerTask) {
-	for i, t := range w.tasks {
-		if t.Piece == piece && t.Try == try {
-			return i, t
-		}
-	}
-	return -1, nil
-}
-
-func (w *worker) execute(orders []order, from string) {
-	for _, o := range orders {
-		i, task := w.find(o.Piece, o.Try)
-		w.rig.rec.add("%s: order %s %s/%d from %s", w.name, o.Verb, o.Piece, o.Try, from)
-		switch {
-		case o.Verb == "start" && task == nil:
-			w.startTask(o)
-		case o.Verb == "halt" && task != nil && task.Stage != "ended":
-			w.halt(task, o.Leeway)
-		case o.Verb == "reap" && task != nil && task.Stage == "ended":
-			w.tasks = append(w.tasks[:i:i], w.tasks[i+1:]...)
-			w.notify()
-		}
-	}
-}
-
-func (w *worker) startTask(o order) {
-	job, number, _ := strings.Cut(o.Piece, "/")
-	spec := w.rig.jobs[job]
-	task := &workerTask{taskReport: taskReport{Piece: o.Piece, Try: o.Try}, spec: spec, since: time.Now()}
-	n, err := strconv.Atoi(number)
-	cause := ""
-	cpus, ram := 0.0, 0.0
-	if spec == nil || err != nil || n < 0 || n >= spec.Pieces {
-		cause = "no_such"
-	} else {
-		cpus, ram = spec.CPUs, spec.RAM
-	}
-	for _, t := range w.tasks {
-		if t.Stage == "ended" {
-			if t.Piece == o.Piece {
-				cause = "in_use"
-			}
-			continue
-		}
-		if t.Piece == o.Piece {
-			cause = "in_use"
-		}
-		cpus += t.spec.CPUs
-		ram += t.spec.RAM
-	}
-	if cause == "" && (cpus > w.host.kind.CPUs+1e-6 || ram > w.host.kind.RAM+1e-6) {
-		cause = "full"
-	}
-	w.tasks = append(w.tasks, task)
-	w.notify()
-	if cause != "" {
-		task.Stage, task.Cause = "ended", cause
-		w.rig.rec.add("%s: start of %s/%d refused: %s", w.name, o.Piece, o.Try, cause)
-		return
-	}
-	w.rig.check.startOrdered(w, task)
-	task.Stage = "fetching"
-	fetch := time.Duration(0)
-	if !w.images[spec.Bundle] {
-		fetch = w.rig.seconds(spec.Size / w.host.kind.Fetch)
-	}
-	w.after(task, fetch, func() { w.run(task) })
-}
-
-// after calls f later unless the task has ended; a machine that hangs delays it.
-func (w *worker) after(task *workerTask, d time.Duration, f func()) {
-	w.endTimer(task)
-	task.timer = time.AfterFunc(d, func() {
-		w.rig.mu.Lock()
-		defer w.rig.mu.Unlock()
-		if _, found := w.find(task.Piece, task.Try); found != task || !w.alive || task.Stage == "ended" {
-			return
-		}
-		if w.isFrozen() {
-			w.after(task, time.Until(w.frozen)+time.Millisecond, f)
-			return
-		}
-		f()
-	})
-}
-
-func (w *worker) run(task *workerTask) {
-	w.images[task.spec.Bundle] = true
-	task.Stage = "running"
-	w.rig.check.started(w, task)
-	w.notify()
-	switch {
-	case w.rig.check.isDone(task.Piece):
-		w.end(task, "done")
-	case task.spec.Shape == "sweep":
-		w.after(task, w.rig.seconds(task.spec.runS), func() {
-			w.rig.check.done(task.Piece)
-			w.end(task, "done")
-		})
-	}
-}
-
-func (w *worker) halt(task *workerTask, leeway *float64) {
-	savable := task.Stage == "running" && task.spec.Mark > 0
-	switch {
-	case savable && leeway != nil && *leeway >= task.spec.Stash:
-		task.Stage = "saving"
-		w.notify()
-		w.after(task, w.rig.seconds(task.spec.Stash), func() {
-			task.Saved = true
-			w.end(task, "stopped")
-		})
-	case task.Stage != "saving" || leeway != nil && *leeway == 0:
-		w.end(task, "stopped")
-	}
-}
-
-func (w *worker) end(task *workerTask, cause string) {
-	w.endTimer(task)
-	if task.Stage == "running" || task.Stage == "saving" {
-		w.rig.check.left(w, task)
-	}
-	task.Stage, task.Cause = "ended", cause
-	w.rig.rec.add("%s: %s/%d ended: %s", w.name, task.Piece, task.Try, cause)
-	w.notify()
-}
-
-// serve answers direct commands.
-func (w *worker) serve(rw http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
-	if err != nil || len(body) > maxMessage {
-		w.rig.rec.add("%s: a direct command of %d bytes is refused: %.150s...", w.name, len(body), body)
-		w.rig.mu.Lock()
-		w.rig.noteOversized(len(body))
-		w.rig.mu.Unlock()
-		reply(rw, 400, `{"error":"malformed"}`)
-		return
-	}
-	w.rig.mu.Lock()
-	lag, lost := w.commandLag, !w.alive || w.deaf
-	w.rig.mu.Unlock()
-	if lost {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-	if lag > 0 {
-		time.Sleep(lag)
-	}
-	w.rig.mu.Lock()
-	for w.alive && w.isFrozen() {
-		w.rig.mu.Unlock()
-		time.Sleep(20 * time.Millisecond)
-		w.rig.mu.Lock()
-	}
-	defer w.rig.mu.Unlock()
-	if !w.alive {
-		panic(http.ErrAbortHandler)
-	}
-	if r.URL.Path == "/inspect" {
-		reply(rw, 200, string(w.report()))
-		return
-	}
-	var command struct {
-		Baton  *uint64 `json:"baton"`
-		Shift  *uint64 `json:"shift"`
-		Orders []order `json:"orders"`
-	}
-	if json.Unmarshal(body, &command) != nil || command.Baton == nil || command.Shift == nil {
-		reply(rw, 400, `{"error":"malformed"}`)
-		return
-	}
-	if *command.Baton < w.baton || *command.Shift != w.shift {
-		reply(rw, 409, string(w.report()))
-		return
-	}
-	w.see(*command.Baton)
-	w.execute(command.Orders, "direct baton "+strconv.FormatUint(*command.Baton, 10))
-	reply(rw, 200, string(w.report()))
-}
