reconcile: messages to agents keep the size limit

Cause: a message without a bound. All commands for a machine went into one message of any length. An agent that keeps to the protocol drops one over 64 KiB, and with the answer to a heartbeat the renewal of its lease. Nothing bounded the tasks on a machine either, though heartbeats list them all.

Change: commands are put together in one place for both paths, up to the limit; the rest follows at once, stops first. A slot for a task is a resource of machines (504 each, from the size of a heartbeat), counted by placement, preemption and the autoscaler; ended tasks hold theirs until they are reaped. New metric rockrun_commands_deferred_total and log line 'commands deferred'. Same cause on a related path: the answer to an invalid submission quoted a number at any length.

Literals in two placement tests name the new resource; what they check is the same.

--- a/internal/coordination/autoscaler/catalogue.go
+++ b/internal/coordination/autoscaler/catalogue.go
@@ -51,7 +51,7 @@
 	if math.IsInf(count, 1) {
 		return 0
 	}
-	return int(count)
+	return int(min(count, protocol.MaxTasksPerMachine))
 }
 
 // machineShare returns the fraction of a machine of a type that one task occupies.
--- a/internal/coordination/autoscaler/planner_test.go
+++ b/internal/coordination/autoscaler/planner_test.go
@@ -48,6 +48,24 @@
 	return &storage.Job{ZoneIndex: -1, JobSpec: protocol.JobSpec{Kind: kind, CPUs: 4, MemoryGB: 8, Spot: spot, Tasks: 10, EstimateSeconds: 15}}
 }
 
+// TestTasksPerMachineIsBounded guards against tasks that wait for ever on a fleet that seems large
+// enough: an agent's heartbeats name a limited number of tasks, however small these are.
+func TestTasksPerMachineIsBounded(t *testing.T) {
+	large := testTypes()[typeLarge]
+	tiny := &storage.Job{JobSpec: protocol.JobSpec{CPUs: 0.001, MemoryGB: 0.001}}
+	if count := TasksPerMachine(&large, tiny); count != protocol.MaxTasksPerMachine {
+		t.Errorf("%d tasks per machine, want %d", count, protocol.MaxTasksPerMachine)
+	}
+	tiny.Kind, tiny.Tasks, tiny.ZoneIndex = protocol.KindService, 2*protocol.MaxTasksPerMachine+1, -1
+	machines := 0
+	for _, scaleOut := range newTestPlanner().ScaleOuts([]Demand{{Job: tiny, Count: tiny.Tasks}}) {
+		machines += scaleOut.Count
+	}
+	if machines != 3 {
+		t.Errorf("%d machines for %d tasks, want 3", machines, tiny.Tasks)
+	}
+}
+
 // TestScaleOuts checks which machines are planned for ten tasks without any supply.
 func TestScaleOuts(t *testing.T) {
 	small, large := Pool{typeSmall, zoneA, true}, Pool{typeLarge, zoneA, true}
--- a/internal/coordination/generation.go
+++ b/internal/coordination/generation.go
@@ -100,18 +100,19 @@
 // beginReconciler creates the reconciler, which runs the tasks of the held shards.
 func (c *Controller) beginReconciler() {
 	c.reconciler = reconcile.New(reconcile.Config{
-		Generation:        c.generation,
-		Replica:           c.replica,
-		View:              c.replica.View,
-		Committer:         c.committer,
-		Leases:            c.leases,
-		Agents:            c.Agents,
-		Outcomes:          c.jobs,
-		Log:               c.Log,
-		AgentSettings:     c.Settings.Cluster.Agents,
-		Objectives:        c.Settings.Cluster.Objectives,
-		MaxStaleness:      c.maxStaleness,
-		MaxAttemptNumbers: c.maxAttemptNumbers,
+		Generation:         c.generation,
+		Replica:            c.replica,
+		View:               c.replica.View,
+		Committer:          c.committer,
+		Leases:             c.leases,
+		Agents:             c.Agents,
+		Outcomes:           c.jobs,
+		Log:                c.Log,
+		AgentSettings:      c.Settings.Cluster.Agents,
+		Objectives:         c.Settings.Cluster.Objectives,
+		MaxStaleness:       c.maxStaleness,
+		MaxAttemptNumbers:  c.maxAttemptNumbers,
+		OnCommandsDeferred: func(commands int) { c.stats.commandsDeferred.Add(uint64(commands)) },
 		OnPassEnd: func() {
 			c.stats.passes.Add(1)
 			c.jobs.WriteCancelledDependents()
--- a/internal/coordination/placement/fleet_test.go
+++ b/internal/coordination/placement/fleet_test.go
@@ -210,5 +210,5 @@
 
 // machineWithFree returns a machine with the given free CPUs and enough memory for any task.
 func machineWithFree(name string, zone int, cpus float64, running ...RunningAttempt) *testMachine {
-	return &testMachine{name: name, zone: zone, free: Resources{CPUs: cpus, MemoryGB: 100}, running: running}
+	return &testMachine{name: name, zone: zone, free: Resources{CPUs: cpus, MemoryGB: 100, TaskSlots: 100}, running: running}
 }
--- a/internal/coordination/placement/resources_test.go
+++ b/internal/coordination/placement/resources_test.go
@@ -35,10 +35,11 @@
 		free Resources
 		want int
 	}{
-		{"none", Resources{CPUs: 1, MemoryGB: 64}, 0},
-		{"as many as fit", Resources{CPUs: 7, MemoryGB: 64}, 3},
-		{"limited by the scarcest resource", Resources{CPUs: 7, MemoryGB: 2}, 2},
-		{"limited by the number of tasks", Resources{CPUs: 100, MemoryGB: 100}, 5},
+		{"none", Resources{CPUs: 1, MemoryGB: 64, TaskSlots: 100}, 0},
+		{"as many as fit", Resources{CPUs: 7, MemoryGB: 64, TaskSlots: 100}, 3},
+		{"limited by the scarcest resource", Resources{CPUs: 7, MemoryGB: 2, TaskSlots: 100}, 2},
+		{"limited by the slots for tasks", Resources{CPUs: 7, MemoryGB: 64, TaskSlots: 1}, 1},
+		{"limited by the number of tasks", Resources{CPUs: 100, MemoryGB: 100, TaskSlots: 100}, 5},
 	} {
 		if got := c.free.Count(&storage.Job{JobSpec: protocol.JobSpec{Tasks: 5, CPUs: 2, MemoryGB: 1}}); got != c.want {
 			t.Errorf("%s: %d", c.name, got)
@@ -50,15 +51,15 @@
 // on its own.
 func TestAddUndoesSubtract(t *testing.T) {
 	j := &storage.Job{JobSpec: protocol.JobSpec{CPUs: 1, GPUs: 2, MemoryGB: 3}}
-	free := Resources{CPUs: 4, GPUs: 4, MemoryGB: 4}
+	free := Resources{CPUs: 4, GPUs: 4, MemoryGB: 4, TaskSlots: 4}
 	free.Subtract(j)
-	if want := (Resources{CPUs: 3, GPUs: 2, MemoryGB: 1}); free != want {
+	if want := (Resources{CPUs: 3, GPUs: 2, MemoryGB: 1, TaskSlots: 3}); free != want {
 		t.Errorf("after Subtract: %+v, want %+v", free, want)
 	}
-	if least, want := free.Min(TaskResources(j)), (Resources{CPUs: 1, GPUs: 2, MemoryGB: 1}); least != want {
+	if least, want := free.Min(TaskResources(j)), (Resources{CPUs: 1, GPUs: 2, MemoryGB: 1, TaskSlots: 1}); least != want {
 		t.Errorf("Min returned %+v, want %+v", least, want)
 	}
-	if free.Add(j); free != (Resources{CPUs: 4, GPUs: 4, MemoryGB: 4}) {
+	if free.Add(j); free != (Resources{CPUs: 4, GPUs: 4, MemoryGB: 4, TaskSlots: 4}) {
 		t.Errorf("after Add: %+v", free)
 	}
 }
--- a/internal/coordination/reconcile/agent_test.go
+++ b/internal/coordination/reconcile/agent_test.go
@@ -63,7 +63,8 @@
 	expect("not requested", time.Minute, false)
 	a.stop.request(a.saveGrace())
 	expect("requested", time.Minute, true)
-	if command := a.issueStop(time.Minute); command.Verb != protocol.VerbStop || *command.GraceSeconds != 5 {
+	a.recordStop(time.Minute)
+	if command := a.stopCommand(); command.Verb != protocol.VerbStop || *command.GraceSeconds != 5 {
 		t.Errorf("%+v", command)
 	}
 	expect("sent", time.Minute+stopRetryInterval, false)
--- a/internal/coordination/reconcile/attempt.go
+++ b/internal/coordination/reconcile/attempt.go
@@ -56,17 +56,25 @@
 	return 0
 }
 
-// issueStop returns the stop command of the attempt and notes that it is sent now.
-func (a *attempt) issueStop(now time.Duration) protocol.Command {
+// stopCommand returns the command that stops the attempt.
+func (a *attempt) stopCommand() pendingCommand {
 	grace := a.stop.graceSeconds
-	a.stop.sentAt = now
-	return protocol.Command{Verb: protocol.VerbStop, Task: protocol.TaskName(a.job.ID, a.task), Attempt: a.number, GraceSeconds: &grace}
+	stop := protocol.Command{Verb: protocol.VerbStop, Task: protocol.TaskName(a.job.ID, a.task), Attempt: a.number, GraceSeconds: &grace}
+	return pendingCommand{Command: stop, attempt: a}
 }
 
-// issueStart returns the start command of the attempt and notes that it is sent now.
-func (a *attempt) issueStart(now time.Duration) protocol.Command {
+// startCommand returns the command that starts the attempt.
+func (a *attempt) startCommand() pendingCommand {
+	start := protocol.Command{Verb: protocol.VerbStart, Task: protocol.TaskName(a.job.ID, a.task), Attempt: a.number}
+	return pendingCommand{Command: start, attempt: a}
+}
+
+// recordStop notes that a stop of the attempt is sent now.
+func (a *attempt) recordStop(now time.Duration) { a.stop.sentAt = now }
+
+// recordStart notes that a start of the attempt is sent now.
+func (a *attempt) recordStart(now time.Duration) {
 	a.start.record(a.agent.fence.tokenForStart(), a.agent.contact.epoch, now)
-	return protocol.Command{Verb: protocol.VerbStart, Task: protocol.TaskName(a.job.ID, a.task), Attempt: a.number}
 }
 
 // startCommand describes the starts that may have been sent for an attempt.
--- a/internal/coordination/reconcile/commands.go
+++ b/internal/coordination/reconcile/commands.go
@@ -10,16 +10,22 @@
 	"rockrun/internal/storage"
 )
 
-// commandsFor returns the commands that bring a machine from the state in its agent's last
-// heartbeat to the desired state.
-func (r *Reconciler) commandsFor(agent *agent) []protocol.Command {
+// commandsFor returns the commands of the next message that brings a machine from the state in
+// its agent's last heartbeat to the desired state. complete is false if commands that were never
+// sent did not fit into the message.
+func (r *Reconciler) commandsFor(agent *agent) (commands []protocol.Command, complete bool) {
 	if !agent.needsAttention {
-		return []protocol.Command{}
+		return []protocol.Command{}, true
 	}
+	return r.send(agent, r.pendingCommands(agent))
+}
+
+// pendingCommands returns all commands that an agent needs.
+func (r *Reconciler) pendingCommands(agent *agent) []pendingCommand {
 	if !agent.fence.confirmed || !r.Leases.MayActFor(agent.shard) {
-		return r.stopsFor(agent)
+		return stopsFor(agent)
 	}
-	commands, reaps := r.commandsForUnexpected(agent)
+	pending, reaps := r.commandsForUnexpected(agent)
 	// After a reap the agent no longer knows the attempt, and a duplicated or delayed start
 	// would run the attempt again. A reap is therefore always sent under a higher fencing
 	// token than any earlier start.
@@ -28,11 +34,10 @@
 	}
 	for _, attempt := range attemptsInOrder(agent) {
 		if command, needed := r.commandFor(attempt); needed {
-			commands = append(commands, command)
-			r.logCommand(attempt, command.Verb)
+			pending = append(pending, command)
 		}
 	}
-	return commands
+	return pending
 }
 
 // attemptsInOrder lists an agent's attempts: first those to be stopped, then the others, each
@@ -61,24 +66,21 @@
 // cancellation could renew the lease of an agent with tasks of the cancelled job just before
 // the holder must stop acting. The tasks would then exceed the cancellation deadline by as
 // long as the holder had known of the cancellation.
-func (r *Reconciler) stopsFor(agent *agent) []protocol.Command {
-	commands := []protocol.Command{}
+func stopsFor(agent *agent) (stops []pendingCommand) {
 	for _, ref := range storage.SortedTasks(agent.attempts) {
 		if attempt := agent.attempts[ref]; attempt.live() && attempt.stop.requested {
-			commands = append(commands, attempt.issueStop(r.now()))
-			r.logCommand(attempt, protocol.VerbStop)
+			stops = append(stops, attempt.stopCommand())
 		}
 	}
-	return commands
+	return stops
 }
 
 // commandsForUnexpected returns the commands for tasks that are on a machine but no longer
 // wanted there. reaps reports whether the commands include a reap of an ended task.
-func (r *Reconciler) commandsForUnexpected(agent *agent) (commands []protocol.Command, reaps bool) {
-	commands = []protocol.Command{}
+func (r *Reconciler) commandsForUnexpected(agent *agent) (commands []pendingCommand, reaps bool) {
 	now := r.now()
 	if !agent.unexpected.reapDue(now) && !agent.hasUnsentCommands(now) {
-		return commands, false
+		return nil, false
 	}
 	noGrace := 0.0
 	for _, task := range agent.unexpected.list {
@@ -87,14 +89,14 @@
 			reaps = true
 			command.Verb, command.GraceSeconds = protocol.VerbReap, nil
 		}
-		commands = append(commands, command)
+		commands = append(commands, pendingCommand{Command: command})
 	}
 	return commands, reaps
 }
 
 // commandFor returns the command that an attempt needs, if any. An attempt that is to be
 // stopped and whose start was never sent ends immediately.
-func (r *Reconciler) commandFor(attempt *attempt) (command protocol.Command, needed bool) {
+func (r *Reconciler) commandFor(attempt *attempt) (command pendingCommand, needed bool) {
 	switch {
 	case !attempt.live():
 		return command, false
@@ -106,9 +108,9 @@
 		if attempt.state == attemptPlanned {
 			attempt.agent.fence.raiseAbove(attempt.start.token) // so that the attempt's absence from a heartbeat proves that it does not run
 		}
-		return attempt.issueStop(r.now()), true
+		return attempt.stopCommand(), true
 	case attempt.startable():
-		return attempt.issueStart(r.now()), true
+		return attempt.startCommand(), true
 	}
 	return command, false
 }
@@ -128,13 +130,14 @@
 	if now < channel.NotBefore() || agent.address == "" || !agent.machine.Exists() || agent.isDetached() {
 		return
 	}
-	commands := r.commandsFor(agent)
+	commands, complete := r.commandsFor(agent)
 	// A request without commands still announces the fencing token to an agent whose fence is
 	// not confirmed.
 	if len(commands) == 0 && (agent.fence.confirmed || !r.Leases.MayActFor(agent.shard)) {
 		return
 	}
 	channel.begin(now)
+	channel.sendAgain = !complete
 	request := protocol.CommandRequest{FencingToken: agent.fence.current, Epoch: agent.contact.epoch, Commands: commands}
 	r.Agents.Execute(agent.address, request, func(heartbeat *protocol.AgentHeartbeat, executed bool, err error) {
 		channel.Finish()
--- a/internal/coordination/reconcile/commands_test.go
+++ b/internal/coordination/reconcile/commands_test.go
@@ -1,6 +1,9 @@
 package reconcile
 
 import (
+	"encoding/json"
+	"maps"
+	"slices"
 	"testing"
 
 	"rockrun/internal/protocol"
@@ -76,3 +79,53 @@
 		t.Error("the attempt was removed before it was confirmed terminated")
 	}
 }
+
+// TestCommandsFitMessages guards against messages over the size limit, which an agent drops
+// together with the renewal of its lease: an earlier version left more tasks on a machine than
+// one message can name, and their job is cancelled. All stops must be sent, the first of them at
+// once.
+func TestCommandsFitMessages(t *testing.T) {
+	const tasks = 2400
+	f := newFixture(t)
+	f.apply(storage.JobKey("run-2"), storage.JobRecord{Spec: protocol.JobSpec{
+		ID: "run-2", Team: "red", Kind: protocol.KindArray, Priority: "normal", Tasks: tasks, CPUs: 0.001, MemoryGB: 0.001,
+	}})
+	var intents []string
+	running := map[string]protocol.TaskStatus{}
+	for task := range tasks {
+		intents = append(intents, storage.IntentEntry(task, "m-2", 9))
+		name := protocol.TaskName("run-2", task)
+		running[name] = protocol.TaskStatus{Task: name, Attempt: 9, State: protocol.TaskRunning}
+	}
+	f.apply(storage.IntentPageKey(firstPage), storage.IntentPage{"run-2": intents})
+	f.apply(storage.MachineGroupKey("c"), storage.MachineGroupRecord{Type: "small", Zone: "z", Machines: []storage.MachineEntry{{Name: "m-2", Address: "v"}}})
+	f.remove(storage.JobKey("run-2"))
+	f.recordsChanged()
+	for message := 1; len(running) > 0; message++ {
+		answer, err := f.deliver(&protocol.AgentHeartbeat{
+			Machine: "m-2", Address: "v", MachineType: "small", Zone: "z", Epoch: 1, Sequence: uint64(message), FencingToken: grantToken,
+			Tasks: slices.Collect(maps.Values(running)),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := json.Marshal(answer)
+		if err != nil || len(body) > 64<<10 {
+			t.Fatalf("answer %d has %d bytes: %v", message, len(body), err)
+		}
+		before := len(running)
+		for _, command := range answer.Commands {
+			if command.Verb == protocol.VerbStop {
+				delete(running, command.Task)
+			}
+		}
+		if len(running) == before {
+			t.Fatalf("answer %d stops none of %d tasks", message, before)
+		}
+	}
+	for _, request := range f.commandRequests {
+		if body, err := json.Marshal(request); err != nil || len(body) > 64<<10 {
+			t.Errorf("a command request has %d bytes: %v", len(body), err)
+		}
+	}
+}
--- a/internal/coordination/reconcile/config.go
+++ b/internal/coordination/reconcile/config.go
@@ -60,6 +60,9 @@
 	MaxAttemptNumbers uint64
 	// OnPassEnd is called at the end of every pass.
 	OnPassEnd func()
+	// OnCommandsDeferred is called with the number of commands that did not fit into a message
+	// to an agent.
+	OnCommandsDeferred func(commands int)
 }
 
 // defaultMaxAttemptNumbers is the default limit of the attempt counter. The numbers left above
--- a/internal/coordination/reconcile/fixture_test.go
+++ b/internal/coordination/reconcile/fixture_test.go
@@ -20,20 +20,21 @@
 // fixture is a reconciler whose clock, store and agents the test controls. The reconciler
 // holds one machine, m-1, under a new grant.
 type fixture struct {
-	t               testing.TB
-	reconciler      *Reconciler
-	leases          *sharding.Leases
-	replica         *replica.Replica
-	committer       *kv.Committer
-	view            *storage.View
-	now             time.Duration
-	timers          []func()
-	transactions    []protocol.Transaction // sent to the store, not answered
-	commandRequests []protocol.CommandRequest
-	revision        uint64
-	watchAnswered   bool              // the first watch has been answered
-	values          map[string][]byte // contents of the store
-	endedJobs       []string          // jobs whose final records are durable
+	t                testing.TB
+	reconciler       *Reconciler
+	leases           *sharding.Leases
+	replica          *replica.Replica
+	committer        *kv.Committer
+	view             *storage.View
+	now              time.Duration
+	timers           []func()
+	transactions     []protocol.Transaction // sent to the store, not answered
+	commandRequests  []protocol.CommandRequest
+	revision         uint64
+	watchAnswered    bool              // the first watch has been answered
+	values           map[string][]byte // contents of the store
+	endedJobs        []string          // jobs whose final records are durable
+	commandsDeferred int               // commands that did not fit into a message
 }
 
 func (f *fixture) Now() time.Duration                               { return f.now }
@@ -106,6 +107,7 @@
 	f.reconciler = New(Config{
 		Generation: generation, Replica: f.replica, View: f.view, Committer: f.committer, Leases: f.leases, Agents: f, Outcomes: f, Log: log,
 		AgentSettings: agents, MaxStaleness: agents.MaxStaleness(), OnPassEnd: func() {},
+		OnCommandsDeferred: func(commands int) { f.commandsDeferred += commands },
 	})
 	f.replica.Start()
 	f.refreshViewAndLeases()
--- a/internal/coordination/reconcile/heartbeat.go
+++ b/internal/coordination/reconcile/heartbeat.go
@@ -27,10 +27,10 @@
 	}
 	r.observeHeartbeat(agent, heartbeat, true)
 	contact.lastAnsweredAt = r.now()
-	commands := r.commandsFor(agent)
+	commands, complete := r.commandsFor(agent)
 	r.logHeartbeatAnswer(agent, len(commands))
 	reply(protocol.AgentHeartbeatAnswer{FencingToken: agent.fence.current, Commands: commands})
-	if !agent.fence.confirmed {
+	if !agent.fence.confirmed || !complete {
 		r.sendCommands(agent)
 	}
 	return nil
@@ -111,8 +111,9 @@
 
 // applyTaskStatuses applies the task statuses of a heartbeat to the agent's attempts. It
 // returns the number of known attempts that the heartbeat lists, and whether any has ended.
-func (r *Reconciler) applyTaskStatuses(agent *agent, heartbeat *protocol.AgentHeartbeat) (listed int, ended bool) {
+func (r *Reconciler) applyTaskStatuses(agent *agent, heartbeat *protocol.AgentHeartbeat) (known int, ended bool) {
 	agent.unexpected.reset()
+	attempts := len(agent.attempts)
 	for i := range heartbeat.Tasks {
 		status := &heartbeat.Tasks[i]
 		id, task, err := protocol.ParseTaskName(status.Task)
@@ -127,12 +128,13 @@
 			continue
 		}
 		attempt.listedInSequence = heartbeat.Sequence
-		listed++
+		known++
 		if attempt.live() && r.applyTaskStatus(attempt, status) {
 			ended = true
 		}
 	}
-	return listed, ended
+	agent.listing.observe(len(heartbeat.Tasks), attempts-known)
+	return known, ended
 }
 
 // applyTaskStatus applies the reported state of a live attempt and reports whether the
--- a/internal/coordination/reconcile/placer.go
+++ b/internal/coordination/reconcile/placer.go
@@ -45,10 +45,16 @@
 		sinceContact < 2*r.AgentSettings.HeartbeatInterval()+heartbeatMargin
 }
 
-// freeCapacity returns the resources of a machine that no live attempt uses.
+// freeCapacity returns the resources of a machine that no live attempt uses, and the slots that
+// no task occupies.
 func (r *Reconciler) freeCapacity(agent *agent) placement.Resources {
 	machineType := &r.View.MachineTypes[agent.machine.TypeIndex]
-	return placement.Resources{CPUs: machineType.CPUs - agent.load.cpus, GPUs: machineType.GPUs - agent.load.gpus, MemoryGB: machineType.MemoryGB - agent.load.memoryGB}
+	return placement.Resources{
+		CPUs:      machineType.CPUs - agent.load.cpus,
+		GPUs:      machineType.GPUs - agent.load.gpus,
+		MemoryGB:  machineType.MemoryGB - agent.load.memoryGB,
+		TaskSlots: agent.listing.freeSlots(),
+	}
 }
 
 // placer connects a placement round to the reconciler: it provides the state of machines,
--- a/internal/coordination/reconcile/reconciler.go
+++ b/internal/coordination/reconcile/reconciler.go
@@ -75,6 +75,7 @@
 	attempt.job.References++
 	attempt.agent.attempts[attempt.ref()] = attempt
 	attempt.agent.needsAttention = true
+	attempt.agent.listing.unlisted++
 	r.attemptsByTask[attempt.ref()]++
 	r.usage.charge(attempt, 1)
 	if attempt.job.Image != "" {
@@ -89,6 +90,9 @@
 		r.usage.charge(attempt, -1)
 		attempt.state = attemptEnded
 	}
+	if !attempt.start.sent() {
+		attempt.agent.listing.unlisted--
+	}
 	ref := attempt.ref()
 	if attempt.agent.attempts[ref] == attempt {
 		delete(attempt.agent.attempts, ref)
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -13,6 +13,7 @@
 // fields.
 type stats struct {
 	passes                   atomic.Uint64
+	commandsDeferred         atomic.Uint64
 	jobsAwaitingDependencies atomic.Int64
 	oversizedValues          atomic.Int64
 	nextGaugeRefreshAt       time.Duration // accessed only on the controller's goroutine
@@ -31,6 +32,7 @@
 // Stats are the counters and gauges of a controller.
 type Stats struct {
 	Passes                    uint64 // reconcile passes
+	CommandsDeferred          uint64 // commands that did not fit into a message to an agent and were sent with a later one
 	JobsReleased              uint64 // jobs of the held shards whose last dependency was done
 	JobsCancelledByDependency uint64 // jobs of the held shards that were cancelled because a dependency was cancelled
 	JobsAwaitingDependencies  int64  // unfinished jobs of the held shards that await dependencies
@@ -48,6 +50,7 @@
 	return Stats{
 		Snapshot:                  snapshot,
 		Passes:                    c.stats.passes.Load(),
+		CommandsDeferred:          c.stats.commandsDeferred.Load(),
 		JobsReleased:              counters.Released,
 		JobsCancelledByDependency: counters.CancelledByDependency,
 		JobsAwaitingDependencies:  c.stats.jobsAwaitingDependencies.Load(),
--- a/internal/protocol/errors.go
+++ b/internal/protocol/errors.go
@@ -83,14 +83,22 @@
 	"AgentHeartbeat", "Report",
 )
 
+// maxProblemBytes is the maximum length of the text of a decode error. The text quotes numbers
+// that do not fit their type, at any length.
+const maxProblemBytes = 1000
+
 // decodeProblem returns the text of a decode error. The text contains names of Go types if a
 // value is of the wrong type.
 func decodeProblem(cause error) string {
+	text := cause.Error()
 	switch cause.(type) {
 	case *json.UnmarshalTypeError, *jsonv1.UnmarshalTypeError:
-		return typeNamesInProblems.Replace(cause.Error())
+		text = typeNamesInProblems.Replace(text)
+	}
+	if len(text) <= maxProblemBytes {
+		return text
 	}
-	return cause.Error()
+	return strings.ToValidUTF8(text[:maxProblemBytes], "") + "..."
 }
 
 // RefusedError is the error of a call that a service answered with a failure status.
--- a/internal/protocol/submission.go
+++ b/internal/protocol/submission.go
@@ -8,9 +8,9 @@
 
 // Limits on submissions.
 const (
-	MaxBody      = 64 << 10 // size of a submission in bytes
-	MaxTasks     = 100_000  // tasks per job
-	maxNameBytes = 200      // length of a name in bytes
+	MaxBody      = MaxMessageBytes // size of a submission in bytes
+	MaxTasks     = 100_000         // tasks per job
+	maxNameBytes = 200             // length of a name in bytes
 
 	// maxAmount is the maximum of every amount in a submission.
 	maxAmount = 1e9
--- a/internal/scenario/agent_heartbeat.go
+++ b/internal/scenario/agent_heartbeat.go
@@ -37,6 +37,7 @@
 	for _, task := range a.tasks {
 		heartbeat.Tasks = append(heartbeat.Tasks, task.TaskStatus)
 	}
+	a.dropsOversized("heartbeat", len(heartbeat.Tasks), heartbeat)
 	return heartbeat
 }
 
@@ -135,8 +136,10 @@
 	untilNext := time.Duration((0.75 + 0.5*sim.rand.Float64()) * float64(sim.cluster.Agents.HeartbeatInterval()))
 	switch {
 	case answered && answer.Status == http.StatusOK:
-		x.applyAnswer(answer.Body.(protocol.AgentHeartbeatAnswer))
-		return untilNext
+		if x.applyAnswer(answer.Body.(protocol.AgentHeartbeatAnswer)) {
+			return untilNext
+		}
+		agent.selectNextController()
 	case answered && answer.Status == http.StatusMisdirectedRequest:
 		if agent.redirectTo(answer.Body.(protocol.Redirect).Controller) {
 			return redirectDelay
@@ -148,15 +151,20 @@
 }
 
 // applyAnswer renews the lease and executes the commands of an answer with status 200. An
-// answer with a lower fencing token or for an earlier epoch of the agent is ignored.
-func (x *heartbeatExchange) applyAnswer(answer protocol.AgentHeartbeatAnswer) {
+// answer with a lower fencing token or for an earlier epoch of the agent is ignored. It returns
+// false for an answer over the size limit, which counts as no answer.
+func (x *heartbeatExchange) applyAnswer(answer protocol.AgentHeartbeatAnswer) bool {
 	agent := x.agent
+	if agent.dropsOversized("answer", len(answer.Commands), answer) {
+		return false
+	}
 	if answer.FencingToken < agent.fencingToken || x.epoch != agent.epoch {
-		return
+		return true
 	}
 	agent.raiseToken(answer.FencingToken)
 	agent.leaseStart = x.sentAt
 	agent.apply(answer.Commands)
+	return true
 }
 
 // redirectTo selects the named controller and returns true. If the controller is unknown or
--- a/internal/scenario/agent_link.go
+++ b/internal/scenario/agent_link.go
@@ -120,6 +120,12 @@
 		return
 	}
 	sim := d.sim
+	if agent.dropsOversized("command request", len(d.request.Commands), d.request) {
+		if !d.timedOut {
+			sim.after(extraDelay+sim.latency(), d.sender.guard(func() { d.done(nil, false, protocol.ErrRejected) }))
+		}
+		return
+	}
 	heartbeat, executed := agent.execute(d.request)
 	if sim.rand.Float64() < sim.network.commands.duplicateShare {
 		sim.after(sim.randomBelow(maxDuplicateDelay), func() {
--- a/internal/scenario/rules.go
+++ b/internal/scenario/rules.go
@@ -7,6 +7,7 @@
 const (
 	ruleRanTwice           rule = "ran_twice"     // a task starts while it runs on another machine
 	ruleTwoAttempts        rule = "two_attempts"  // a machine accepts an attempt while another has an unfinished one of the same task
+	ruleMessageTooLong     rule = "line_limit"    // a message to or from an agent exceeds the protocol's limit
 	ruleRanCancelled       rule = "ran_cancelled" // a cancelled job runs on a machine after the cancel timeout
 	ruleWrongPlacement     rule = "wrong_place"   // a task starts where its job does not allow
 	ruleQuota              rule = "quota"         // a team exceeds its maximum
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -100,6 +100,8 @@
 	}
 	registerCounter("rockrun_passes_total", "Passes over all that the controller holds.",
 		func(s coordination.Stats) uint64 { return s.Passes })
+	registerCounter("rockrun_commands_deferred_total", "Commands to workers that did not fit into a message and were sent with a later one.",
+		func(s coordination.Stats) uint64 { return s.CommandsDeferred })
 	registerCounter("rockrun_jobs_released_total", "Jobs of the controller's homes that could start since all that they need was done.",
 		func(s coordination.Stats) uint64 { return s.JobsReleased })
 	registerCounter("rockrun_jobs_cancelled_with_another_total", "Jobs of the controller's homes that were cancelled with one that they need.",
--- a/internal/transport/metrics_test.go
+++ b/internal/transport/metrics_test.go
@@ -38,7 +38,7 @@
 	metrics := NewMetrics(NewLimiter(4, 100))
 	metrics.RegisterLimits(0.06, 81)
 	metrics.RegisterController(func() coordination.Stats {
-		return coordination.Stats{Passes: 7, JobsReleased: 3, JobsCancelledByDependency: 2, JobsAwaitingDependencies: 5, OversizedValues: 1}
+		return coordination.Stats{Passes: 7, CommandsDeferred: 9, JobsReleased: 3, JobsCancelledByDependency: 2, JobsAwaitingDependencies: 5, OversizedValues: 1}
 	})
 	backend := unreachableBackend(runLoop(t), metrics)
 	ended := make(chan error, 2)
@@ -58,6 +58,7 @@
 		{"rockrun_commands_total", "unknown", 1},
 		{"rockrun_changes_total", "", 0},
 		{"rockrun_passes_total", "", 7},
+		{"rockrun_commands_deferred_total", "", 9},
 		{"rockrun_jobs_released_total", "", 3},
 		{"rockrun_jobs_cancelled_with_another_total", "", 2},
 		{"rockrun_jobs_waiting", "", 5},
