reconcile: an attempt ends only once its agent rejects its start

Cause: a proof taken from absence. An attempt that had been listed before and was not listed any more counted as over. After a restart within an epoch the agent has forgotten it, and executes a late copy of the start, whose fencing token and epoch still match.

Change: one condition for all ways in which a heartbeat ends an attempt: a later epoch, or a fencing token above that of every start sent for it. Until then the attempt counts, and the higher token is announced in a command request. Debug line 'start superseded'. Same cause on related paths: an end that the agent reports (stopped, failed, refused) is forgotten with the list, so it needs the token too; stops go out with a higher token, so that nothing takes longer there. Attempts on detached machines use the same condition. A gang waits for such attempts.

The literal of a gang in TestGang now counts the attempt that its zones list; what is checked is the same.

--- a/internal/coordination/placement/round.go
+++ b/internal/coordination/placement/round.go
@@ -198,7 +198,7 @@
 // placeGang places either all pending tasks of a gang or none. It places none while attempts
 // from an earlier round remain, because a gang that lost a task restarts as a whole.
 func (r *Round[M]) placeGang(gang *Candidate, state JobState) {
-	if slices.ContainsFunc(state.AttemptsByZone, func(count int) bool { return count > 0 }) {
+	if state.Attempts > 0 {
 		return
 	}
 	var placed []placedTask[M]
--- a/internal/coordination/placement/round_test.go
+++ b/internal/coordination/placement/round_test.go
@@ -80,7 +80,7 @@
 			[]string{"place g/0 on m-1, attempt 1", "place g/1 on m-1, attempt 1", "unplace g/0 from m-1", "unplace g/1 from m-1", "place b/0 on m-1, attempt 2"}},
 		{"none if the quota admits fewer tasks", []*testMachine{machineWithFree("m-1", 0, 3)}, nil, map[string]int{"g": 2},
 			[]string{"place g/0 on m-1, attempt 1", "place g/1 on m-1, attempt 1", "unplace g/0 from m-1", "unplace g/1 from m-1", "place b/0 on m-1, attempt 2"}},
-		{"none while an earlier attempt remains", []*testMachine{machineWithFree("m-1", 0, 3)}, &JobState{Remaining: 3, AttemptsByZone: []int{0, 1}}, nil,
+		{"none while an earlier attempt remains", []*testMachine{machineWithFree("m-1", 0, 3)}, &JobState{Remaining: 3, Attempts: 1, AttemptsByZone: []int{0, 1}}, nil,
 			[]string{"place b/0 on m-1, attempt 1"}},
 		{"preemptions for all tasks", []*testMachine{machineWithFree("m-1", 0, 0, runningAttempt(low("x", 2), 1)), machineWithFree("m-2", 0, 0, runningAttempt(low("y", 1), 2))}, nil, nil,
 			[]string{"preempt on m-1 for g: x/0", "preempt on m-1 for g:", "preempt on m-2 for g: y/0"}},
--- a/internal/coordination/reconcile/agent.go
+++ b/internal/coordination/reconcile/agent.go
@@ -77,8 +77,11 @@
 }
 
 // hasUnsentCommands reports whether any attempt with a durable intent has a start that was
-// never sent, or a stop that must be sent or repeated.
+// never sent, a stop must be sent or repeated, or a fencing token must be announced.
 func (a *agent) hasUnsentCommands(now time.Duration) bool {
+	if a.fence.awaitsReport() && !a.fence.announced {
+		return true
+	}
 	for _, attempt := range a.attempts {
 		if !attempt.live() {
 			continue
@@ -93,11 +96,12 @@
 	return false
 }
 
-// needsResolution reports whether the machine has unexpected live tasks, or an attempt being
-// stopped that the agent has not reported yet and that is not confirmed terminated.
+// needsResolution reports whether the machine has unexpected live tasks, an attempt being
+// stopped that the agent has not reported yet and that is not confirmed terminated, or starts that
+// the agent may still execute and must not.
 func (a *agent) needsResolution() bool {
 	// Ended unexpected tasks can wait: the next heartbeat answer or start reaps them.
-	if a.unexpected.anyLive() {
+	if a.unexpected.anyLive() || a.fence.awaitsReport() {
 		return true
 	}
 	for _, attempt := range a.attempts {
--- a/internal/coordination/reconcile/attempt.go
+++ b/internal/coordination/reconcile/attempt.go
@@ -21,8 +21,11 @@
 	stop             stopCommand
 	listedInSequence uint64 // sequence number of the last heartbeat that listed it
 	inherited        bool   // planned by an earlier holder; known only from the records when acquired
-	plannedAt        time.Duration
-	runningSince     time.Duration // when a heartbeat first showed it running
+	// awaitsFence is set if the agent has reported the end of the attempt, but would still execute
+	// a delayed copy of its start if it lost its task list.
+	awaitsFence  bool
+	plannedAt    time.Duration
+	runningSince time.Duration // when a heartbeat first showed it running
 }
 
 // ref identifies the task.
@@ -33,6 +36,9 @@
 // live reports whether the task may still be on the machine.
 func (a *attempt) live() bool { return a.state != attemptEnded }
 
+// blocksTask reports whether no other attempt at the task may be started because of this one.
+func (a *attempt) blocksTask() bool { return a.live() || a.awaitsFence }
+
 // durable reports whether the records name the attempt.
 func (a *attempt) durable() bool { return a.agent.machine.Intents[a.ref()].Attempt == a.number }
 
--- a/internal/coordination/reconcile/commands.go
+++ b/internal/coordination/reconcile/commands.go
@@ -105,9 +105,9 @@
 			r.endAttempt(attempt, "not started")
 			return command, false
 		}
-		if attempt.state == attemptPlanned {
-			attempt.agent.fence.raiseAbove(attempt.start.token) // so that the attempt's absence from a heartbeat proves that it does not run
-		}
+		// The end or the absence of the attempt proves that it does not run again only if the
+		// agent rejects its start from then on.
+		attempt.agent.fence.raiseAbove(attempt.start.token)
 		return attempt.stopCommand(), true
 	case attempt.startable():
 		return attempt.startCommand(), true
@@ -132,10 +132,12 @@
 	}
 	commands, complete := r.commandsFor(agent)
 	// A request without commands still announces the fencing token to an agent whose fence is
-	// not confirmed.
-	if len(commands) == 0 && (agent.fence.confirmed || !r.Leases.MayActFor(agent.shard)) {
+	// not confirmed, or that may execute delayed starts.
+	announces := !agent.fence.confirmed || agent.fence.awaitsReport()
+	if len(commands) == 0 && (!announces || !r.Leases.MayActFor(agent.shard)) {
 		return
 	}
+	agent.fence.announced = true
 	channel.begin(now)
 	channel.sendAgain = !complete
 	request := protocol.CommandRequest{FencingToken: agent.fence.current, Epoch: agent.contact.epoch, Commands: commands}
--- a/internal/coordination/reconcile/completion.go
+++ b/internal/coordination/reconcile/completion.go
@@ -38,6 +38,20 @@
 	r.completions.attempts = append(r.completions.attempts, attempt)
 }
 
+// endReported ends an attempt whose end its agent has reported. Unless the task is completed, it
+// will be started again, or its job is cancelled. The attempt therefore counts, for quotas as well,
+// until the agent reports a fencing token with which it rejects delayed copies of the start.
+func (r *Reconciler) endReported(attempt *attempt, cause string) {
+	completed := cause == protocol.CauseDone && !attempt.job.Ended() && !attempt.job.IsService()
+	if completed || !attempt.start.sent() {
+		r.endAttempt(attempt, cause)
+		return
+	}
+	r.logAttemptEnded(attempt, cause)
+	attempt.state, attempt.awaitsFence = attemptEnded, true
+	r.supersedeStart(attempt, cause)
+}
+
 // recordCompletion schedules the durable record of a completed task: the final record of the
 // job if this was its last task, otherwise a completion page.
 func (r *Reconciler) recordCompletion(a *attempt) {
@@ -54,7 +68,11 @@
 		r.Log.Info("tasks lost", "machine", agent.machine.Name, "tasks", len(agent.attempts), "reason", reason)
 	}
 	for _, ref := range storage.SortedTasks(agent.attempts) {
-		r.endAttempt(agent.attempts[ref], "lost")
+		if attempt := agent.attempts[ref]; attempt.awaitsFence {
+			r.removeAttempt(attempt)
+		} else {
+			r.endAttempt(attempt, "lost")
+		}
 	}
 	agent.unexpected.list = nil
 }
--- a/internal/coordination/reconcile/decision_log.go
+++ b/internal/coordination/reconcile/decision_log.go
@@ -60,6 +60,14 @@
 	}
 }
 
+// logStartSuperseded logs that an agent must reject further copies of the start of an attempt,
+// which is missing from a heartbeat or has ended.
+func (r *Reconciler) logStartSuperseded(attempt *attempt, reason string) {
+	agent := attempt.agent
+	r.Log.Debug("start superseded", "machine", agent.machine.Name, "job", attempt.job.ID, "task", attempt.task, "attempt", attempt.number,
+		"state", attempt.state, "reason", reason, "token", agent.fence.current, "reported", agent.fence.reported, r.shardAttrs(agent.shard))
+}
+
 // logCommand logs a command that is sent for an attempt.
 func (r *Reconciler) logCommand(attempt *attempt, verb protocol.CommandVerb) {
 	if !r.debugEnabled() {
--- a/internal/coordination/reconcile/detached.go
+++ b/internal/coordination/reconcile/detached.go
@@ -56,10 +56,10 @@
 	}
 }
 
-// anyLive reports whether any attempt may still run on the machine.
+// anyLive reports whether any attempt may still run on the machine, or be started there again.
 func (a *agent) anyLive() bool {
 	for _, attempt := range a.attempts {
-		if attempt.live() {
+		if attempt.blocksTask() {
 			return true
 		}
 	}
--- a/internal/coordination/reconcile/fence.go
+++ b/internal/coordination/reconcile/fence.go
@@ -9,6 +9,12 @@
 	// confirmed is set once a heartbeat has reported the grant's token or a higher one:
 	// commands of earlier holders can no longer take effect.
 	confirmed bool
+	// reported is the token in the agent's last heartbeat.
+	reported uint64
+	// superseded is the highest token of a start that must not be executed any more: the agent
+	// must report a higher one.
+	superseded uint64
+	announced  bool // the token above superseded was sent in a command request
 }
 
 // newFence makes the fence of an agent that is acquired under a grant.
@@ -27,7 +33,22 @@
 }
 
 // observe records the token that a heartbeat reports.
-func (f *fence) observe(reported uint64) { f.confirmed = reported >= f.granted }
+func (f *fence) observe(reported uint64) {
+	f.reported = reported
+	f.confirmed = reported >= f.granted
+}
+
+// supersede raises the token in use above the token of a start that must not be executed any
+// more, for example by a delayed copy of the command.
+func (f *fence) supersede(started uint64) {
+	f.raiseAbove(started)
+	if started > f.superseded {
+		f.superseded, f.announced = started, false
+	}
+}
+
+// awaitsReport reports whether the agent must still report a token above the superseded one.
+func (f *fence) awaitsReport() bool { return f.superseded > 0 && f.reported <= f.superseded }
 
 // raise increments the token in use and returns it.
 func (f *fence) raise() uint64 {
--- a/internal/coordination/reconcile/heartbeat.go
+++ b/internal/coordination/reconcile/heartbeat.go
@@ -132,6 +132,9 @@
 		if attempt.live() && r.applyTaskStatus(attempt, status) {
 			ended = true
 		}
+		if r.endFenced(attempt, heartbeat) {
+			ended = true
+		}
 	}
 	agent.listing.observe(len(heartbeat.Tasks), attempts-known)
 	return known, ended
@@ -156,37 +159,71 @@
 	return false
 }
 
+// endFenced removes an attempt that ended before, once a heartbeat proves that the agent rejects
+// its start, and reports whether it did.
+func (r *Reconciler) endFenced(attempt *attempt, heartbeat *protocol.AgentHeartbeat) bool {
+	if !attempt.awaitsFence || !rejectsStarts(attempt, heartbeat) {
+		return false
+	}
+	r.removeAttempt(attempt)
+	return true
+}
+
 // endMissingAttempts ends the attempts whose absence from a heartbeat proves that they have
 // terminated, and reports whether there were any.
 func (r *Reconciler) endMissingAttempts(agent *agent, heartbeat *protocol.AgentHeartbeat) (ended bool) {
 	for _, ref := range storage.SortedTasks(agent.attempts) {
 		attempt := agent.attempts[ref]
-		if attempt.listedInSequence == heartbeat.Sequence || !attempt.live() {
+		if attempt.listedInSequence == heartbeat.Sequence || !attempt.blocksTask() {
+			continue
+		}
+		if r.endFenced(attempt, heartbeat) {
+			ended = true
 			continue
 		}
 		if cause := terminationCause(attempt, heartbeat); cause != "" {
 			r.endAttempt(attempt, cause)
 			ended = true
+		} else if attempt.state != attemptPlanned {
+			r.supersedeStart(attempt, "missing")
 		}
 	}
 	return ended
 }
 
+// rejectsStarts reports whether a heartbeat proves that its agent rejects every start that was
+// ever sent for an attempt, however late a copy of the command arrives.
+func rejectsStarts(attempt *attempt, heartbeat *protocol.AgentHeartbeat) bool {
+	start := &attempt.start
+	return start.epoch != 0 && heartbeat.Epoch > start.epoch || heartbeat.FencingToken > start.token
+}
+
+// supersedeStart makes the agent reject delayed copies of the start of an attempt.
+func (r *Reconciler) supersedeStart(attempt *attempt, reason string) {
+	agent := attempt.agent
+	if agent.isDetached() || agent.fence.superseded >= attempt.start.token {
+		return
+	}
+	agent.fence.supersede(attempt.start.token)
+	agent.needsAttention = true
+	r.logStartSuperseded(attempt, reason)
+}
+
 // terminationCause returns why an attempt that a heartbeat does not list has certainly
 // terminated, or "" if the absence of the attempt proves nothing.
 func terminationCause(attempt *attempt, heartbeat *protocol.AgentHeartbeat) string {
-	start, fence := &attempt.start, &attempt.agent.fence
+	start := &attempt.start
 	switch {
+	case !rejectsStarts(attempt, heartbeat):
+		// The agent does not have the attempt now, but a delayed start may still arrive. An
+		// attempt that the agent has reported before is no exception: after a restart of its
+		// machine the agent has no tasks, and executes a copy of the start again.
+		return ""
 	case start.epoch != 0 && heartbeat.Epoch > start.epoch:
 		return "epoch over"
 	case attempt.state != attemptPlanned:
-		// The agent has reported the attempt before. An agent removes an attempt from its
-		// list only when a new epoch begins or on a reap, in both cases after the attempt
-		// has ended.
 		return "vanished"
-	case attempt.inherited && fence.confirmed, terminatesWhenFenced(attempt) && start.sent() && heartbeat.FencingToken > start.token:
-		// The agent does not have the attempt, and rejects every start that was ever sent
-		// for it.
+	case attempt.inherited && attempt.agent.fence.confirmed, terminatesWhenFenced(attempt) && start.sent():
 		return "never started"
 	}
 	return ""
@@ -229,5 +266,5 @@
 		progress.backoffUntil = now + jobUnknownBackoff
 		r.Log.Warn("job unknown to agent", "machine", machine, "task", status.Task, "attempt", attempt.number)
 	}
-	r.endAttempt(attempt, status.Cause)
+	r.endReported(attempt, status.Cause)
 }
--- a/internal/coordination/reconcile/heartbeat_test.go
+++ b/internal/coordination/reconcile/heartbeat_test.go
@@ -209,3 +209,118 @@
 		t.Errorf("dependency done: %d pending jobs", len(list))
 	}
 }
+
+// startOwn has the reconciler start run-1/0 and run-1/1 as far as m-1 has room, and returns the
+// status of the attempt that it started.
+func (f *fixture) startOwn() protocol.TaskStatus {
+	f.t.Helper()
+	f.heartbeat(1, grantToken)
+	f.reconciler.pass()
+	f.applyTransactions()
+	f.reconciler.pass()
+	for _, request := range f.commandRequests {
+		for _, command := range request.Commands {
+			if command.Verb == protocol.VerbStart {
+				return protocol.TaskStatus{Task: command.Task, Attempt: command.Attempt, State: protocol.TaskRunning}
+			}
+		}
+	}
+	f.t.Fatal("no task was started")
+	return protocol.TaskStatus{}
+}
+
+// announcedToken returns the highest fencing token that was sent to m-1 in a command request.
+func (f *fixture) announcedToken() (token uint64) {
+	for _, request := range f.commandRequests {
+		token = max(token, request.FencingToken)
+	}
+	return token
+}
+
+// attemptsWithStart counts the attempts at the task of a status that are not confirmed
+// terminated.
+func (f *fixture) attemptsWithStart(status protocol.TaskStatus) int {
+	f.t.Helper()
+	_, task, err := protocol.ParseTaskName(status.Task)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return f.attemptsOf(task)
+}
+
+// TestVanishedAttemptNeedsFence guards against a task that runs on two machines: a machine
+// restarts, its agent no longer lists the task, and a delayed copy of the start runs it again
+// after it was started elsewhere.
+func TestVanishedAttemptNeedsFence(t *testing.T) {
+	f := newFixture(t)
+	running := f.startOwn()
+	startToken := f.agent().fence.highestStartToken
+	f.agent().commands.Finish()
+	f.heartbeat(2, startToken, running)
+	f.commandRequests = nil
+	answer, err := f.heartbeat(3, startToken)
+	if err != nil || answer.FencingToken <= startToken {
+		t.Errorf("the answer does not announce a token above the start's %x: %x, %v", startToken, answer.FencingToken, err)
+	}
+	f.reconciler.pass()
+	if f.attemptsWithStart(running) != 1 {
+		t.Error("absence ended the attempt although its start may still be executed")
+	}
+	if f.announcedToken() <= startToken {
+		t.Error("no command request announces a token above the start's")
+	}
+	f.heartbeat(4, f.agent().fence.current)
+	if f.liveAttempts() != 0 {
+		t.Error("the attempt still counts although the agent rejects its start")
+	}
+}
+
+// TestVanishedAttemptReappears checks that an attempt that a delayed start runs again goes on,
+// instead of a second one.
+func TestVanishedAttemptReappears(t *testing.T) {
+	f := newFixture(t)
+	running := f.startOwn()
+	startToken := f.agent().fence.highestStartToken
+	f.heartbeat(2, startToken, running)
+	f.heartbeat(3, startToken)
+	fetching := running
+	fetching.State = protocol.TaskFetching
+	f.heartbeat(4, f.agent().fence.current, fetching)
+	f.heartbeat(5, f.agent().fence.current, running)
+	if f.liveAttempts() != 1 || f.attemptsWithStart(running) != 1 {
+		t.Error("the attempt does not count, but runs")
+	}
+}
+
+// TestReportedEndNeedsFence guards against the same after a reported end that is not a completion:
+// the machine may restart before the task is reaped, and forget that it ended.
+func TestReportedEndNeedsFence(t *testing.T) {
+	for _, cause := range []string{protocol.CauseError, protocol.CauseStopped, protocol.CauseNoCapacity} {
+		f := newFixture(t)
+		running := f.startOwn()
+		startToken := f.agent().fence.highestStartToken
+		f.agent().commands.Finish()
+		f.heartbeat(2, startToken, running)
+		ended := running
+		ended.State, ended.Cause = protocol.TaskEnded, cause
+		f.commandRequests = nil
+		f.heartbeat(3, startToken, ended)
+		if f.attemptsWithStart(running) != 1 {
+			t.Errorf("%s: the task may be started elsewhere although a copy of its start may still be executed", cause)
+		}
+		if f.agent().load.cpus == 0 {
+			t.Errorf("%s: the attempt uses no quota although a copy of its start may still be executed", cause)
+		}
+		f.reconciler.pass()
+		if f.announcedToken() <= startToken {
+			t.Errorf("%s: no command request announces a token above the start's", cause)
+		}
+		f.heartbeat(4, f.agent().fence.current, ended)
+		if f.attemptsWithStart(running) != 0 {
+			t.Errorf("%s: the attempt still counts although the agent rejects its start", cause)
+		}
+		if f.agent().load.cpus != 0 {
+			t.Errorf("%s: the attempt still uses %v CPUs", cause, f.agent().load.cpus)
+		}
+	}
+}
--- a/internal/coordination/reconcile/reconciler.go
+++ b/internal/coordination/reconcile/reconciler.go
@@ -86,9 +86,9 @@
 // removeAttempt removes an attempt from its agent, its page, its job's progress and all usage
 // sums.
 func (r *Reconciler) removeAttempt(attempt *attempt) {
-	if attempt.live() {
+	if attempt.blocksTask() {
 		r.usage.charge(attempt, -1)
-		attempt.state = attemptEnded
+		attempt.state, attempt.awaitsFence = attemptEnded, false
 	}
 	if !attempt.start.sent() {
 		attempt.agent.listing.unlisted--
--- a/internal/scenario/actions_machines.go
+++ b/internal/scenario/actions_machines.go
@@ -33,8 +33,12 @@
 }
 
 // actMachineRestart: "machine-restart m-000000" ends everything that runs on a machine. The
-// machine is up again immediately.
+// machine is up again immediately, in a new epoch of its agent. With "epoch=kept" the epoch, the
+// sequence numbers and the fencing token go on, since the agent's lease has not expired.
 func actMachineRestart(sim *simulation, line *statement) func() {
+	if line.text("epoch", "new") == "kept" {
+		return sim.withAgent(line.arg(0), (*fakeAgent).restartInEpoch)
+	}
 	return sim.withAgent(line.arg(0), (*fakeAgent).restart)
 }
 
--- a/internal/scenario/agent.go
+++ b/internal/scenario/agent.go
@@ -29,6 +29,7 @@
 
 	controller         int  // index of the host that receives the heartbeats
 	inFlight           bool // a heartbeat is unanswered
+	restarts           int  // restarts within an epoch
 	lastHeartbeat      time.Duration
 	heartbeatRequested bool // an early heartbeat is scheduled because the state changed
 }
@@ -96,8 +97,18 @@
 	a.requestHeartbeat()
 }
 
+// restartInEpoch terminates all tasks and goes on in the same epoch. Answers to heartbeats sent
+// before do not arrive.
+func (a *fakeAgent) restartInEpoch() {
+	a.removeAllTasks()
+	a.restarts++
+	a.inFlight = false
+	a.requestHeartbeat()
+}
+
 func (a *fakeAgent) removeAllTasks() {
 	for _, task := range a.tasks {
+		task.timerGeneration++
 		a.sim.checker.taskRemoved(a, task)
 	}
 	a.tasks = nil
--- a/internal/scenario/agent_heartbeat.go
+++ b/internal/scenario/agent_heartbeat.go
@@ -57,7 +57,7 @@
 		return
 	}
 	a.inFlight, a.heartbeatRequested, a.lastHeartbeat = true, false, a.sim.now
-	exchange := &heartbeatExchange{agent: a, sentAt: a.sim.now, epoch: a.epoch}
+	exchange := &heartbeatExchange{agent: a, sentAt: a.sim.now, epoch: a.epoch, restarts: a.restarts}
 	heartbeat := a.heartbeat()
 	receiver := a.sim.hosts[a.controller]
 	a.sim.after(answerTimeout, exchange.handleFailure)
@@ -83,6 +83,7 @@
 	agent    *fakeAgent
 	sentAt   time.Duration
 	epoch    uint64
+	restarts int
 	finished bool
 }
 
@@ -112,7 +113,7 @@
 
 func (x *heartbeatExchange) finish(answer api.Answer, answered bool) {
 	agent, sim := x.agent, x.agent.sim
-	if x.finished || agent.dead || agent.isPaused() || sim.now-x.sentAt > answerTimeout+time.Millisecond {
+	if x.finished || agent.dead || x.restarts != agent.restarts || agent.isPaused() || sim.now-x.sentAt > answerTimeout+time.Millisecond {
 		return // the agent no longer waits for this answer
 	}
 	x.finished, agent.inFlight = true, false
