protocol: names of JSON members are case-sensitive

Cause: an input read more loosely than the protocol says. Names were matched regardless of case, by the standard library for submissions and by the options of its first version for all else; unknown fields must be ignored.

Change: protocol.Decode matches names exactly and is the only way in which JSON is read. Texts of errors are unchanged.

--- a/cmd/rockrun/main.go
+++ b/cmd/rockrun/main.go
@@ -64,6 +64,9 @@
 	if err != nil {
 		return err
 	}
+	for _, field := range settings.IgnoredFields {
+		fmt.Printf("warning: %s: unknown, ignored; names are case-sensitive\n", field)
+	}
 	for _, w := range settings.Warnings(options) {
 		fmt.Printf("warning: %s: %s\n", w.Field, w.Reason)
 	}
@@ -91,6 +94,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for controllers: %w", err)
 	}
+	for _, field := range settings.IgnoredFields {
+		log.Warn("setting ignored", "field", field)
+	}
 	for _, w := range settings.Warnings(options) {
 		log.Warn("limit likely to be too small", "field", w.Field, "why", w.Reason)
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -18,6 +18,8 @@
 	Peers      []Peer   `toml:"siblings"`
 	External   External `toml:"external"`
 	Cluster    Cluster  `toml:"cluster"`
+	// IgnoredFields are the names of fields that differ from those of known fields in case only.
+	IgnoredFields []string `toml:"-"`
 }
 
 // Peer is another controller of the cluster.
@@ -104,9 +106,11 @@
 // field, or all invalid fields joined, each as a FieldError.
 func ParseSettings(data []byte) (*Settings, error) {
 	var settings Settings
-	if err := toml.Unmarshal(data, &settings); err != nil {
+	ignored, err := decodeExact(data, &settings)
+	if err != nil {
 		return nil, withPosition(err)
 	}
+	settings.IgnoredFields = ignored
 	return &settings, settings.check()
 }
 
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -5,6 +5,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -82,6 +83,43 @@
 	}
 }
 
+// TestUnknownSettingsAreIgnored guards against an unknown field, whose name differs from that of
+// a known one in case only, that replaces the known one or fails as if it were that one.
+func TestUnknownSettingsAreIgnored(t *testing.T) {
+	want, err := ParseSettings([]byte(validSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for from, to := range map[string]string{
+		`node_name = "a"`: "node_name = \"a\"\nNode_Name = \"z\"\nNODE_NAME = 7",
+		`lease_s = 30.0`:  "lease_s = 30.0\nLease_S = 1.0",
+		`name = "red"`:    "name = \"red\"\nName = \"blue\"",
+		`txn_ops = 32`:    "txn_ops = 32\nTxn_Ops = \"few\"",
+		`[cluster.cloud]`: "[cluster.State]\nrps = 1.0\n[cluster.cloud]",
+		`node_name = "b"`: "node_name = \"b\"\nAddress = \"nowhere\"",
+		`cancel_s = 60.0`: "cancel_s = 60.0\nunknown = 1",
+	} {
+		if !strings.Contains(validSettings, from) {
+			t.Fatalf("validSettings does not contain %s", from)
+		}
+		got, err := ParseSettings([]byte(strings.Replace(validSettings, from, to, 1)))
+		if err != nil {
+			t.Errorf("%s: %v", to, err)
+			continue
+		}
+		if len(got.IgnoredFields) == 0 && !strings.Contains(to, "unknown") {
+			t.Errorf("%s: the field is not named as ignored", to)
+		}
+		got.IgnoredFields = nil
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: %+v", to, got)
+		}
+	}
+	if _, err := ParseSettings([]byte(strings.Replace(validSettings, `node_name = "a"`, `Node_Name = "a"`, 1))); err == nil {
+		t.Error("a missing field is replaced by an unknown one")
+	}
+}
+
 // TestFieldErrorMessages checks that the error lists every invalid field on a line of its own.
 func TestFieldErrorMessages(t *testing.T) {
 	replaced := strings.NewReplacer(`public_addr = "10.0.0.1:8080"`, ``, `node_name = "b"`, `node_name = "a"`, `cpus = 64.0`, `cpus = -1.0`,
--- a/internal/protocol/errors.go
+++ b/internal/protocol/errors.go
@@ -1,7 +1,6 @@
 package protocol
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -91,8 +90,7 @@
 // value is of the wrong type.
 func decodeProblem(cause error) string {
 	text := cause.Error()
-	switch cause.(type) {
-	case *json.UnmarshalTypeError, *jsonv1.UnmarshalTypeError:
+	if _, wrongType := cause.(*jsonv1.UnmarshalTypeError); wrongType {
 		text = typeNamesInProblems.Replace(text)
 	}
 	if len(text) <= maxProblemBytes {
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -126,7 +126,7 @@
 		return "", 0, &TaskNameError{Name: name}
 	}
 	task, err = strconv.Atoi(number)
-	if err != nil || task < 0 || task >= MaxTasks {
+	if err != nil || task < 0 || task >= MaxTasks || len(number) > 1 && (number[0] < '1' || number[0] > '9') {
 		return "", 0, &TaskNameError{Name: name}
 	}
 	return job, task, nil
--- a/internal/protocol/submission.go
+++ b/internal/protocol/submission.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 )
 
@@ -27,7 +26,7 @@
 		return nil, &MalformedError{Problem: "not an object"}
 	}
 	var fields submission
-	if err := json.Unmarshal(body, &fields); err != nil {
+	if err := Decode(body, &fields); err != nil {
 		return nil, newDecodeError("", err)
 	}
 	spec, err := fields.spec()
--- a/internal/storage/codec.go
+++ b/internal/storage/codec.go
@@ -22,7 +22,7 @@
 // DecodeFinal decodes the final record of a job. Its error wraps the JSON decoder's error.
 func DecodeFinal(value json.RawMessage) (FinalRecord, error) {
 	var final FinalRecord
-	if err := json.Unmarshal(value, &final); err != nil {
+	if err := protocol.Decode(value, &final); err != nil {
 		return final, fmt.Errorf("decode final record: %w", err)
 	}
 	return final, nil
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -45,6 +45,7 @@
 	server.Metrics.RegisterConnections("public", server.publicListener)
 	server.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
+		CaseSensitive:         true,
 		BodyLimit:             maxRequestBody,
 		Concurrency:           server.MaxConnections,
 		ReadTimeout:           readTimeout,
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -68,6 +68,8 @@
 	loop.Post(controller.Start)
 	for _, exchange := range []httpExchange{
 		{"GET", "/healthz", "", 503, true},
+		{"GET", "/Healthz", "", 404, false}, // paths are case-sensitive
+		{"POST", "/Submissions", validSubmission, 404, false},
 		{"POST", "/submissions", "{", 400, false},
 		{"POST", "/submissions", `{"pad":"` + strings.Repeat("x", protocol.MaxBody) + `"}`, 400, false},
 		{"POST", "/submissions", strings.Repeat("x", 3*protocol.MaxBody), 400, false},
