membership: a leader without its lease confirms no grants unless peers show an outage

Cause: a proof taken from absence.

Change: past the end of its lease the leader answers as the leader, to itself as well, only while most controllers reach it and none of them has had contact with the store since. Log line 'grant confirmation changed'. Same cause on related paths: a leader that the store refuses alone confirmed itself as well.

--- a/internal/coordination/election/leadership.go
+++ b/internal/coordination/election/leadership.go
@@ -50,6 +50,10 @@
 	return l.generation.Now()-l.renewedAt < l.elector.MaxStaleness
 }
 
+// LeaseExpiry returns when the leader's lease may expire unless it is renewed before. From then
+// on another controller may be elected.
+func (l *Leadership) LeaseExpiry() time.Duration { return l.renewedAt + leaseTTL }
+
 // Precondition returns the precondition that this controller is still the leader.
 func (l *Leadership) Precondition() protocol.Precondition {
 	return protocol.Precondition{Key: storage.KeyLeader, Version: l.replica.View.LeaderVersion}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -31,6 +31,7 @@
 		Controllers: c.controllers,
 		Agents:      agents,
 		ShardLease:  c.shardLease,
+		Log:         c.Log,
 		OnUnrecordedAgent: func(heartbeat *protocol.AgentHeartbeat) {
 			newLeader.provisioner.OnUnrecordedHeartbeat(heartbeat)
 		},
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -22,6 +22,7 @@
 	committed         []protocol.Transaction
 	commitErr         error
 	mayNotAnswer      bool
+	leaseExpiry       time.Duration
 	storeContactSince time.Duration
 	revision          uint64
 	replica           *replica.Replica
@@ -37,6 +38,7 @@
 func (l *testLeader) RevokeLease(uint64, func(error))                  {}
 func (l *testLeader) Term() uint64                                     { return 4 }
 func (l *testLeader) MayAnswer() bool                                  { return !l.mayNotAnswer }
+func (l *testLeader) LeaseExpiry() time.Duration                       { return l.leaseExpiry }
 func (l *testLeader) StoreContactSince() time.Duration                 { return l.storeContactSince }
 func (l *testLeader) List(_, _ string, done func(protocol.KeyValuePage, error)) {
 	done(protocol.KeyValuePage{}, nil)
@@ -52,7 +54,7 @@
 var discardLog = slog.New(slog.NewTextHandler(io.Discard, nil))
 
 func newTestLeader() *testLeader {
-	l := &testLeader{now: time.Minute}
+	l := &testLeader{now: time.Minute, leaseExpiry: time.Hour}
 	l.generation = loop.NewGeneration(l, rand.New(rand.NewPCG(1, 2)))
 	l.replica = replica.New(replica.Config{
 		Generation: l.generation, Store: l, View: storage.NewView(nil, 2), Controller: "a", Incarnation: 3, MinWatchInterval: time.Second,
@@ -76,7 +78,7 @@
 	return NewRegistry(RegistryConfig{
 		Generation: l.generation, Replica: l.replica, Leadership: l, Controllers: controllers,
 		Agents: config.Agents{HeartbeatSeconds: 3, LeaseSeconds: 30, CancelSeconds: 60}, ShardLease: testShardLease,
-		OnUnrecordedAgent: func(*protocol.AgentHeartbeat) {},
+		OnUnrecordedAgent: func(*protocol.AgentHeartbeat) {}, Log: discardLog,
 	})
 }
 
@@ -120,6 +122,47 @@
 	}
 }
 
+// TestLeaderWithoutLeaseConfirmsNothing guards against two holders of a shard: a leader that is
+// partitioned from the store and from the other controllers confirmed its own grants beside its
+// successor. Only while most controllers reach it, and none of them reaches the store, may it take
+// the loss of its lease for an outage of the store.
+func TestLeaderWithoutLeaseConfirmsNothing(t *testing.T) {
+	const sinceExpiry = 5 * time.Second
+	for _, c := range []struct {
+		name string
+		// staleness is that of the peers whose heartbeats reach the leader after its lease expired.
+		staleness map[string]time.Duration
+		confirms  bool
+	}{
+		{"partitioned from all", nil, false},
+		{"one of four peers, without the store", map[string]time.Duration{"b": time.Minute}, false},
+		{"two of four peers, without the store", map[string]time.Duration{"b": time.Minute, "c": sinceExpiry + time.Second}, true},
+		{"all peers, one of them with the store", map[string]time.Duration{"b": time.Minute, "c": time.Minute, "d": time.Second, "e": time.Minute}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newTestLeader()
+			l.applyRecord(storage.GrantKey(0), storage.GrantRecord{Controller: "a", Incarnation: 3, FencingToken: 1})
+			r := l.registry("a", "b", "c", "d", "e")
+			for _, peer := range []string{"b", "c", "d", "e"} { // too old to count once the lease has expired
+				r.OnHeartbeat(&protocol.PeerHeartbeat{Controller: peer, Incarnation: 5})
+			}
+			l.now += PeerTimeout
+			l.leaseExpiry, l.storeContactSince = l.now-sinceExpiry, l.now
+			for peer, staleness := range c.staleness {
+				r.OnHeartbeat(&protocol.PeerHeartbeat{Controller: peer, Incarnation: 5, StoreStaleness: staleness})
+			}
+			own := &protocol.PeerHeartbeat{Controller: "a", Incarnation: 3, StoreStaleness: 2 * sinceExpiry}
+			if reply := r.OnHeartbeat(own); (len(reply.Shards) > 0) != c.confirms || reply.Leader != c.confirms {
+				t.Errorf("reply %+v", reply)
+			}
+			l.leaseExpiry = l.now + time.Second
+			if reply := r.OnHeartbeat(own); len(reply.Shards) != 1 {
+				t.Errorf("not confirmed after the lease was renewed: %+v", reply)
+			}
+		})
+	}
+}
+
 // TestPartitionedFromStore: a controller that alone has lost contact with the store gets no
 // confirmation. This applies only once the leader has had contact with the store for longer than
 // a shard lease.
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -4,6 +4,7 @@
 package membership
 
 import (
+	"log/slog"
 	"time"
 
 	"rockrun/internal/config"
@@ -29,6 +30,9 @@
 	Term() uint64
 	// MayAnswer reports whether this controller may still answer peers as the leader.
 	MayAnswer() bool
+	// LeaseExpiry returns when the leader's lease in the store may expire unless it is renewed
+	// before. From then on another controller may be elected.
+	LeaseExpiry() time.Duration
 	// StoreContactSince returns when the leader's current uninterrupted contact with the store
 	// began.
 	StoreContactSince() time.Duration
@@ -43,6 +47,7 @@
 	Agents      config.Agents
 	// ShardLease is how long a holder may act for a shard without contact to the leader.
 	ShardLease time.Duration
+	Log        *slog.Logger
 	// OnUnrecordedAgent is called with the heartbeat of an agent whose machine no record names.
 	OnUnrecordedAgent func(*protocol.AgentHeartbeat)
 }
@@ -57,6 +62,7 @@
 	lastSeenStatus map[string]protocol.MachineStatus
 	// appliedLiveness holds, by controller, the version of the last liveness record applied.
 	appliedLiveness map[string]uint64
+	unconfirmed     bool // heartbeats are not answered as the leader: see mayConfirm
 }
 
 // NewRegistry creates a registry without peers. It ignores liveness records that exist already,
@@ -102,6 +108,9 @@
 	for i := range heartbeat.UnrecordedAgents {
 		r.OnUnrecordedAgent(&heartbeat.UnrecordedAgents[i])
 	}
+	if !r.observeMayConfirm() {
+		return &protocol.PeerHeartbeatReply{}
+	}
 	reply := &protocol.PeerHeartbeatReply{
 		Leader: true, Term: r.Leadership.Term(), SentAt: heartbeat.SentAt, HealthyPeers: r.countHealthyExcept(heartbeat.Controller),
 	}
@@ -118,6 +127,51 @@
 	return reply
 }
 
+// observeMayConfirm returns mayConfirm and logs each change of it.
+func (r *Registry) observeMayConfirm() bool {
+	may := r.mayConfirm()
+	if may == r.unconfirmed {
+		r.unconfirmed = !may
+		r.Log.Info("grant confirmation changed", "term", r.Leadership.Term(), "confirms", may,
+			"reachable", r.countReachable(), "lease_expired", r.Generation.Now()-r.Leadership.LeaseExpiry())
+	}
+	return may
+}
+
+// mayConfirm reports whether the leader may confirm grants, its own included. Once its lease may
+// have expired, another controller may have been elected and may have granted the same shards. The
+// leader cannot distinguish an outage of the store, in which nobody is elected, from a partition
+// of its own. It takes it for an outage only if most controllers reach it and none of them has
+// had contact with the store since.
+func (r *Registry) mayConfirm() bool {
+	expiry := r.Leadership.LeaseExpiry()
+	if r.Generation.Now() < expiry {
+		return true
+	}
+	for controller, peer := range r.peers {
+		if r.isReachable(controller, peer) && peer.HeartbeatAt-peer.Staleness > expiry {
+			return false
+		}
+	}
+	return 2*r.countReachable() > len(r.Controllers)
+}
+
+// isReachable reports whether another controller's heartbeats reach the leader.
+func (r *Registry) isReachable(controller string, peer *Peer) bool {
+	return controller != r.Replica.Controller && r.Generation.Now()-peer.HeartbeatAt < PeerTimeout
+}
+
+// countReachable counts the controllers whose heartbeats reach the leader, and the leader itself.
+func (r *Registry) countReachable() int {
+	count := 1
+	for controller, peer := range r.peers {
+		if r.isReachable(controller, peer) {
+			count++
+		}
+	}
+	return count
+}
+
 // MaxStaleness returns the maximum staleness at which a controller acts on its view.
 func (r *Registry) MaxStaleness() time.Duration { return r.Agents.MaxStaleness() }
 
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -118,6 +118,7 @@
 func (l *testLeader) RevokeLease(uint64, func(error))                  {}
 func (l *testLeader) Term() uint64                                     { return 4 }
 func (l *testLeader) MayAnswer() bool                                  { return true }
+func (l *testLeader) LeaseExpiry() time.Duration                       { return l.now + time.Second }
 func (l *testLeader) StoreContactSince() time.Duration                 { return 0 }
 func (l *testLeader) Precondition() protocol.Precondition {
 	return protocol.Precondition{Key: storage.KeyLeader, Version: l.replica.View.LeaderVersion}
--- a/internal/scenario/agent_heartbeat.go
+++ b/internal/scenario/agent_heartbeat.go
@@ -57,7 +57,7 @@
 		return
 	}
 	a.inFlight, a.heartbeatRequested, a.lastHeartbeat = true, false, a.sim.now
-	exchange := &heartbeatExchange{agent: a, sentAt: a.sim.now, epoch: a.epoch, restarts: a.restarts}
+	exchange := &heartbeatExchange{agent: a, sentAt: a.sim.now, epoch: a.epoch, restarts: a.restarts, receiver: a.sim.hosts[a.controller]}
 	heartbeat := a.heartbeat()
 	receiver := a.sim.hosts[a.controller]
 	a.sim.after(answerTimeout, exchange.handleFailure)
@@ -84,6 +84,7 @@
 	sentAt   time.Duration
 	epoch    uint64
 	restarts int
+	receiver *host // of the heartbeat
 	finished bool
 }
 
@@ -137,6 +138,7 @@
 	untilNext := time.Duration((0.75 + 0.5*sim.rand.Float64()) * float64(sim.cluster.Agents.HeartbeatInterval()))
 	switch {
 	case answered && answer.Status == http.StatusOK:
+		x.receiver.recordAgentAnswer(x.sentAt)
 		if x.applyAnswer(answer.Body.(protocol.AgentHeartbeatAnswer)) {
 			return untilNext
 		}
--- a/internal/scenario/expect.go
+++ b/internal/scenario/expect.go
@@ -31,6 +31,7 @@
 	"machines":         expectMachines,
 	"machine-deleted":  expectMachineDeleted,
 	"job-shards-apart": expectJobShardsApart,
+	"relieved":         expectRelieved,
 
 	// Faults and violations
 	"overlap":  expectOverlap,
--- a/internal/scenario/expect_cluster.go
+++ b/internal/scenario/expect_cluster.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // expectMachines: "machines kind=spot most=2" counts the machines that are not deleted.
@@ -33,6 +34,23 @@
 	return ""
 }
 
+// expectRelieved: "relieved a within=1s", another controller has answered agents, and controller a
+// has answered no heartbeat that was sent later than that time after the other's first answer.
+func expectRelieved(sim *simulation, line *statement) string {
+	sim.validateHostName(line, line.arg(0))
+	former := sim.resolveHost(line.arg(0))
+	successorAt := time.Duration(0)
+	for _, h := range sim.hosts {
+		if h != former && h.firstAgentAnswerAt > 0 && (successorAt == 0 || h.firstAgentAnswerAt < successorAt) {
+			successorAt = h.firstAgentAnswerAt
+		}
+	}
+	if successorAt == 0 {
+		return "no other controller has answered an agent"
+	}
+	return checkWithin(line, max(0, former.lastAgentHeartbeatAt-successorAt))
+}
+
 // expectOverlap: "overlap pause store-outage", the two faults overlapped at least once.
 func expectOverlap(sim *simulation, line *statement) string {
 	if sim.faults.overlaps(line.arg(0), line.arg(1)) == 0 {
--- a/internal/scenario/host.go
+++ b/internal/scenario/host.go
@@ -20,6 +20,16 @@
 	peersPartitioned         bool     // no messages to or from other controllers
 	agentsPartitioned        bool     // no messages to or from agents
 	pausedUntil              time.Duration
+	firstAgentAnswerAt       time.Duration // when the first heartbeat of an agent was answered 200; 0: none yet
+	lastAgentHeartbeatAt     time.Duration // when the last heartbeat that was answered 200 was sent
+}
+
+// recordAgentAnswer records that a heartbeat of an agent was answered 200.
+func (h *host) recordAgentAnswer(sentAt time.Duration) {
+	if h.firstAgentAnswerAt == 0 {
+		h.firstAgentAnswerAt = h.sim.now
+	}
+	h.lastAgentHeartbeatAt = sentAt
 }
 
 // process is one execution of the controller program.
