--- a/internal/coordination/reconcile/agent.go
+++ b/internal/coordination/reconcile/agent.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"rockrun/internal/protocol"
 	"rockrun/internal/storage"
 )
 
@@ -20,7 +19,6 @@
 	commands         commandChannel
 	attempts         map[storage.TaskRef]*attempt
 	unexpected       unexpectedTasks
-	listing          listing
 	imageRequestedAt map[int]time.Duration // by image: when an attempt that uses it was last added
 	needsAttention   bool                  // commands may have to be sent
 	// detachment is set while the records place the machine in another shard, or in none,
@@ -112,20 +110,6 @@
 	return false
 }
 
-// listing counts the tasks that the agent's heartbeats list. Slots of a machine stay occupied
-// by ended tasks until these are reaped.
-type listing struct {
-	listed   int // tasks in the last heartbeat, in any state
-	unlisted int // attempts that were added since, or that the last heartbeat did not list
-}
-
-// observe records the number of tasks that a heartbeat lists, and how many attempts it does not
-// list.
-func (l *listing) observe(listed, unlisted int) { l.listed, l.unlisted = listed, max(0, unlisted) }
-
-// freeSlots returns how many more tasks the machine can take.
-func (l *listing) freeSlots() int { return protocol.MaxTasksPerMachine - l.listed - l.unlisted }
-
 // load is the resources that the live attempts on a machine use.
 type load struct {
 	cpus        float64
--- a/internal/coordination/reconcile/command_batch.go
+++ b/internal/coordination/reconcile/command_batch.go
@@ -84,5 +84,5 @@
 // recordDeferred counts and logs the commands that did not fit into a message.
 func (r *Reconciler) recordDeferred(agent *agent, sent, deferred int) {
 	r.OnCommandsDeferred(deferred)
-	r.Log.Info("commands deferred", "machine", agent.machine.Name, "sent", sent, "deferred", deferred, "listed", agent.listing.listed)
+	r.Log.Info("commands deferred", "machine", agent.machine.Name, "sent", sent, "deferred", deferred, "listed", agent.contact.listing.listed)
 }
--- a/internal/coordination/reconcile/contact.go
+++ b/internal/coordination/reconcile/contact.go
@@ -15,6 +15,7 @@
 	firstHeartbeatAt time.Duration // when the first heartbeat arrived since the machine was acquired
 	lastHeartbeatAt  time.Duration
 	lastAnsweredAt   time.Duration // when a heartbeat was last answered, which renews the agent's lease
+	listing          listing
 }
 
 // observe records a heartbeat that is newer than the last one.
@@ -32,6 +33,20 @@
 	return max(c.lastAnsweredAt, c.heldSince+maxStaleness)
 }
 
+// listing counts the tasks that the agent's heartbeats list. Slots of a machine stay occupied
+// by ended tasks until these are reaped.
+type listing struct {
+	listed   int // tasks in the last heartbeat, in any state
+	unlisted int // attempts that were added since, or that the last heartbeat did not list
+}
+
+// observe records the number of tasks that a heartbeat lists, and how many attempts it does not
+// list.
+func (l *listing) observe(listed, unlisted int) { l.listed, l.unlisted = listed, max(0, unlisted) }
+
+// freeSlots returns how many more tasks the machine can take.
+func (l *listing) freeSlots() int { return protocol.MaxTasksPerMachine - l.listed - l.unlisted }
+
 // commandChannel tracks command requests to an agent; at most one is in flight.
 type commandChannel struct {
 	loop.Call
--- a/internal/coordination/reconcile/heartbeat.go
+++ b/internal/coordination/reconcile/heartbeat.go
@@ -136,7 +136,7 @@
 			ended = true
 		}
 	}
-	agent.listing.observe(len(heartbeat.Tasks), attempts-known)
+	agent.contact.listing.observe(len(heartbeat.Tasks), attempts-known)
 	return known, ended
 }
 
--- a/internal/coordination/reconcile/placer.go
+++ b/internal/coordination/reconcile/placer.go
@@ -53,7 +53,7 @@
 		CPUs:      machineType.CPUs - agent.load.cpus,
 		GPUs:      machineType.GPUs - agent.load.gpus,
 		MemoryGB:  machineType.MemoryGB - agent.load.memoryGB,
-		TaskSlots: agent.listing.freeSlots(),
+		TaskSlots: agent.contact.listing.freeSlots(),
 	}
 }
 
--- a/internal/coordination/reconcile/reconciler.go
+++ b/internal/coordination/reconcile/reconciler.go
@@ -75,7 +75,7 @@
 	attempt.job.References++
 	attempt.agent.attempts[attempt.ref()] = attempt
 	attempt.agent.needsAttention = true
-	attempt.agent.listing.unlisted++
+	attempt.agent.contact.listing.unlisted++
 	r.attemptsByTask[attempt.ref()]++
 	r.usage.charge(attempt, 1)
 	if attempt.job.Image != "" {
@@ -91,7 +91,7 @@
 		attempt.state, attempt.awaitsFence = attemptEnded, false
 	}
 	if !attempt.start.sent() {
-		attempt.agent.listing.unlisted--
+		attempt.agent.contact.listing.unlisted--
 	}
 	ref := attempt.ref()
 	if attempt.agent.attempts[ref] == attempt {
--- a/internal/scenario/random_handovers_test.go
+++ b/internal/scenario/random_handovers_test.go
@@ -1,21 +1,15 @@
 package scenario
 
 import (
-	"flag"
 	"fmt"
-	"math/rand/v2"
-	"strconv"
 	"testing"
 	"time"
 )
 
-// The handover soak test is short in CI. A long run is started manually:
+// handoverSoak is short in CI. A long run is started manually:
 //
 //	go test ./internal/scenario -run TestHandoverSoak -handover-days 20000 -handover-seed 100000 -timeout 0
-var (
-	handoverRuns      = flag.Uint64("handover-days", 300, "number of scenarios in the handover soak test")
-	firstHandoverSeed = flag.Uint64("handover-seed", 1, "seed of the first scenario of the handover soak test; the others use the seeds that follow")
-)
+var handoverSoak = newSoak("handover", 300, 4)
 
 // TestHandoverSoak runs scenarios in which the shards of small fleets change holders while
 // messages are lost or delayed. Machines boot within two seconds, paused holders resume after
@@ -24,15 +18,11 @@
 // machines have an unfinished attempt of the same task, and no other rule may be violated. A
 // failure names the seed of its scenario; -handover-seed repeats it.
 func TestHandoverSoak(t *testing.T) {
-	for seed := *firstHandoverSeed; seed < *firstHandoverSeed+*handoverRuns; seed++ {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
-			generator := &scenarioGenerator{rand: rand.New(rand.NewPCG(seed, 4))}
-			world := generator.drawHandoverWorld()
-			generator.drawHandoverScenario()
-			generator.runUnrecorded(t, world, seed)
-		})
-	}
+	handoverSoak.run(t, func(generator *scenarioGenerator) []byte {
+		world := generator.drawHandoverWorld()
+		generator.drawHandoverScenario()
+		return world
+	})
 }
 
 // drawHandoverWorld draws a small cluster whose machines boot within two seconds. In half of the
--- a/internal/scenario/random_restarts_test.go
+++ b/internal/scenario/random_restarts_test.go
@@ -1,35 +1,25 @@
 package scenario
 
 import (
-	"flag"
-	"math/rand/v2"
-	"strconv"
 	"testing"
 	"time"
 )
 
-// The restart soak test is short in CI. A long run is started manually:
+// restartSoak is short in CI. A long run is started manually:
 //
 //	go test ./internal/scenario -run TestRestartSoak -restart-days 20000 -restart-seed 100000 -timeout 0
-var (
-	restartRuns      = flag.Uint64("restart-days", 150, "number of scenarios in the restart soak test")
-	firstRestartSeed = flag.Uint64("restart-seed", 1, "seed of the first scenario of the restart soak test; the others use the seeds that follow")
-)
+var restartSoak = newSoak("restart", 150, 5)
 
 // TestRestartSoak guards against tasks that a delayed copy of a start runs again. It runs the
 // scenarios of the handover soak test with further faults: machines restart within an epoch of
 // their agents, so that these forget all tasks, and copies of commands arrive late.
 func TestRestartSoak(t *testing.T) {
-	for seed := *firstRestartSeed; seed < *firstRestartSeed+*restartRuns; seed++ {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
-			generator := &scenarioGenerator{rand: rand.New(rand.NewPCG(seed, 5))}
-			world := generator.drawHandoverWorld()
-			generator.drawHandoverScenario()
-			generator.drawRestarts()
-			generator.runUnrecorded(t, world, seed)
-		})
-	}
+	restartSoak.run(t, func(generator *scenarioGenerator) []byte {
+		world := generator.drawHandoverWorld()
+		generator.drawHandoverScenario()
+		generator.drawRestarts()
+		return world
+	})
 }
 
 // drawRestarts draws restarts of machines, and preempted or failing jobs whose attempts end early.
