--- a/review/rig-2/chaos.go
+++ b/review/rig-2/chaos.go
@@ -14,13 +14,7 @@
 
 func chaos(trouble bool) (Config, func(c *Cluster) int) {
 	cfg := ezo()
-	if n, _ := strconv.Atoi(os.Getenv("NODES")); n > 0 {
-		cfg.Nodes = n
-		cfg.NodeZone = nil
-		for range n {
-			cfg.NodeZone = append(cfg.NodeZone, "mtkvari")
-		}
-	}
+	cfg.setNodes(3)
 	cfg.ReportS, cfg.LeaseS, cfg.CancelS = 0.8, 8, 16
 	cfg.Teams = []Team{{"sakhli", 8, 20}, {"ubani", 8, 24}, {"mtsvane", 8, 24}, {"kari", 8, 0}}
 	cfg.Capacity = 20
--- a/review/rig-2/cluster.go
+++ b/review/rig-2/cluster.go
@@ -54,6 +54,10 @@
 	check *Checker
 	dir   string
 	bin   string
+	// onCommand is called with each direct command that reaches a worker.
+	onCommand func(w *Worker, body []byte)
+	// onAnswer is called with each answer that a worker gets to a report.
+	onAnswer func(w *Worker, node, status int, sent time.Time, tasks int)
 }
 
 // Node is one controller process.
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -5,6 +5,7 @@
 	"math/rand"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -25,6 +26,17 @@
 	}
 }
 
+// setNodes sets the number of controllers; NODES overrides it. All are in one zone.
+func (c *Config) setNodes(n int) {
+	if given, _ := strconv.Atoi(os.Getenv("NODES")); given > 0 {
+		n = given
+	}
+	c.Nodes, c.NodeZone = n, nil
+	for range n {
+		c.NodeZone = append(c.NodeZone, "mtkvari")
+	}
+}
+
 // cases are the cases by name: each returns the deployment and a function that plays it.
 var cases = map[string]func(trouble bool) (Config, func(c *Cluster) int){}
 
--- a/review/rig-2/split.go
+++ b/review/rig-2/split.go
@@ -8,8 +8,7 @@
 
 func quotaSplit(trouble bool) (Config, func(c *Cluster) int) {
 	cfg := ezo()
-	cfg.Nodes = 5
-	cfg.NodeZone = []string{"mtkvari", "mtkvari", "mtkvari", "mtkvari", "mtkvari"}
+	cfg.setNodes(5)
 	cfg.Pools = func(build, yard string, loaner bool) int {
 		if build == "kvari-large" {
 			return 1
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -8,6 +8,7 @@
 	"math/rand"
 	"net"
 	"net/http"
+	"os"
 	"sort"
 	"sync"
 	"time"
@@ -288,6 +289,9 @@
 		if w.deaf || w.cutN[node] || w.mute {
 			status = 0
 		}
+		if f := w.c.onAnswer; f != nil && status != 0 {
+			f(w, node, status, sent, len(w.tasks))
+		}
 		switch status {
 		case 200:
 			var in struct {
@@ -414,6 +418,9 @@
 	w.mu.Lock()
 	d, late := w.cmdDelay, w.cmdLate
 	w.mu.Unlock()
+	if f := w.c.onCommand; f != nil && r.URL.Path == "/commands" {
+		f(w, body)
+	}
 	if late != nil && r.URL.Path == "/commands" {
 		if hold := late(body); hold > 0 {
 			time.AfterFunc(hold, func() { w.command(body) })
@@ -475,5 +482,8 @@
 		w.endRun(t, "restart")
 	}
 	w.tasks = map[string]*wtask{}
+	if os.Getenv("IMAGES") != "kept" {
+		w.images = map[string]bool{}
+	}
 	w.changed = true
 }
