--- a/review/rig-2/chaos.go
+++ b/review/rig-2/chaos.go
@@ -31,6 +31,10 @@
 	if gap == 0 {
 		gap = 300
 	}
+	quiet, _ := strconv.Atoi(os.Getenv("QUIET"))
+	if quiet == 0 {
+		quiet = 15
+	}
 	rnd := rand.New(rand.NewSource(seed))
 	return cfg, func(c *Cluster) int {
 		k := c.check
@@ -41,7 +45,7 @@
 		go func() {
 			n := 0
 			var prev []string
-			for time.Now().Before(end.Add(-15 * time.Second)) {
+			for time.Now().Before(end.Add(-time.Duration(quiet) * time.Second)) {
 				n++
 				j := &Job{ID: fmt.Sprintf("run-%06d", n), Lane: "digest-build", Crew: c.cfg.Teams[rnd.Intn(4)].Name, Shape: "sweep", Rank: []string{"critical", "urgent", "normal", "best_effort"}[rnd.Intn(4)],
 					Pieces: 1 + rnd.Intn(5), VCPUs: float64(1 + rnd.Intn(3)), RAM: 2, Bundle: "img-" + itoa(rnd.Intn(3)), SizeGB: 0.2, Loaner: rnd.Intn(2) == 0, GuessS: 4, run: time.Duration(500+rnd.Intn(6000)) * time.Millisecond}
@@ -105,7 +109,7 @@
 		}
 		time.Sleep(8 * time.Second)
 		r2 := rand.New(rand.NewSource(seed + 1))
-		for trouble && time.Now().Before(end.Add(-30*time.Second)) {
+		for trouble && time.Now().Before(end.Add(-time.Duration(quiet+15)*time.Second)) {
 			dur := time.Duration(1000+r2.Intn(9000)) * time.Millisecond
 			node := r2.Intn(len(c.nodes))
 			if r2.Intn(2) == 0 {
@@ -298,7 +302,53 @@
 				_ = o
 			}
 		}
-		time.Sleep(time.Until(end))
+		// After the troubles: does any job wait beside room?
+		since := map[string]time.Time{}
+		for time.Now().Before(end) {
+			time.Sleep(time.Second)
+			k.mu.Lock()
+			var waiting []*Job
+			on := map[string]bool{}
+			for p, ms := range k.running {
+				if len(ms) > 0 {
+					id, _ := splitPiece(p)
+					on[id] = true
+				}
+			}
+			for _, j := range k.jobs {
+				ready := !j.accepted.IsZero() && j.asked.IsZero() && j.final == "" && !on[j.ID] && len(j.finished) < j.Pieces
+				for _, d := range j.WaitsOn {
+					ready = ready && len(k.jobs[d].finished) == k.jobs[d].Pieces
+				}
+				for _, t := range cfg.Teams {
+					if t.Name == j.Crew && t.Max > 0 && k.used[j.Crew]+j.VCPUs > t.Max {
+						ready = false
+					}
+				}
+				if ready {
+					waiting = append(waiting, j)
+				} else {
+					delete(since, j.ID)
+				}
+			}
+			k.mu.Unlock()
+			for _, j := range waiting {
+				free := room(c, j)
+				if len(free) == 0 {
+					delete(since, j.ID)
+					continue
+				}
+				if since[j.ID].IsZero() {
+					since[j.ID] = time.Now()
+				}
+				if wait := time.Since(since[j.ID]); wait > 30*time.Second {
+					c.rec.Log("%s %s %s has waited for %.0f s beside room on %v", j.ID, j.Crew, j.Shape, wait.Seconds(), free)
+				}
+				if wait := time.Since(since[j.ID]); wait > 90*time.Second && wait < 91*time.Second {
+					c.rec.Broken("left_waiting", "%s waits beside %v", j.ID, free)
+				}
+			}
+		}
 		k.mu.Lock()
 		done, cancelled, open, after := 0, 0, 0, 0
 		for _, j := range k.jobs {
