--- a/review/rig-2/cloud.go
+++ b/review/rig-2/cloud.go
@@ -6,8 +6,9 @@
 	"io"
 	"net"
 	"net/http"
-	"sort"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -71,7 +72,7 @@
 	for id := range cl.machines {
 		ids = append(ids, id)
 	}
-	sort.Strings(ids)
+	slices.Sort(ids)
 	list := []m{}
 	now := time.Now()
 	for _, id := range ids {
@@ -104,80 +105,89 @@
 	defer cl.mu.Unlock()
 	switch {
 	case r.URL.Path == "/flavors":
-		reply(w, 200, m{"builds": cl.types})
-	case r.URL.Path == "/hosts" && r.Method == "POST":
-		var in struct {
-			Ask, Build, Yard string
-			Loaner           bool
-			Count            int
-		}
-		json.Unmarshal(body, &in)
-		if names, ok := cl.answers[in.Ask]; ok {
-			reply(w, 200, m{"hosts": names})
-			return
-		}
-		var t *MachineType
-		for i := range cl.types {
-			if cl.types[i].Name == in.Build {
-				t = &cl.types[i]
-			}
-		}
-		if t == nil || in.Count < 1 || in.Count > 50 {
-			reply(w, 400, m{"error": "malformed"})
-			return
-		}
-		var names []string
-		for range in.Count {
-			if len(cl.machines) >= cl.capacity || cl.c.cfg.Pools != nil && cl.count(in.Build, in.Yard, in.Loaner) >= cl.c.cfg.Pools(in.Build, in.Yard, in.Loaner) {
-				break
-			}
-			names = append(names, cl.create(t, in.Yard, in.Loaner))
-		}
-		if len(names) == 0 {
-			reply(w, 503, m{"error": "no capacity"})
-			return
-		}
-		cl.answers[in.Ask] = names
-		reply(w, 200, m{"hosts": names})
+		reply(w, http.StatusOK, m{"builds": cl.types})
+	case r.URL.Path == "/hosts" && r.Method == http.MethodPost:
+		status, out := cl.rent(body)
+		reply(w, status, out)
 	case r.URL.Path == "/hosts/delete":
-		var in struct{ Hosts []string }
-		json.Unmarshal(body, &in)
-		for _, id := range in.Hosts {
-			if h := cl.machines[id]; h != nil {
-				delete(cl.machines, id)
-				h.worker.Die("deleted")
-			}
-		}
-		reply(w, 200, m{})
+		cl.remove(body)
+		reply(w, http.StatusOK, m{})
 	case r.URL.Path == "/hosts":
-		from := r.URL.Query().Get("from")
 		most, _ := strconv.Atoi(r.URL.Query().Get("most"))
-		if most <= 0 {
-			most = 500
+		reply(w, http.StatusOK, cl.page(r.URL.Query().Get("from"), most))
+	default:
+		reply(w, http.StatusBadRequest, m{"error": "malformed"})
+	}
+}
+
+func (cl *Cloud) rent(body []byte) (int, m) {
+	var in struct {
+		Ask, Build, Yard string
+		Loaner           bool
+		Count            int
+	}
+	bad := json.Unmarshal(body, &in) != nil || in.Count < 1 || in.Count > 50
+	if names, ok := cl.answers[in.Ask]; ok {
+		return http.StatusOK, m{"hosts": names}
+	}
+	i := slices.IndexFunc(cl.types, func(t MachineType) bool { return t.Name == in.Build })
+	if bad || i < 0 {
+		return http.StatusBadRequest, m{"error": "malformed"}
+	}
+	var names []string
+	for range in.Count {
+		if cl.full(in.Build, in.Yard, in.Loaner) {
+			break
 		}
-		var list []m
-		cutoff := time.Now().Add(-cl.lag)
-		for i := len(cl.history) - 1; i >= 0; i-- {
-			if cl.history[i].at.Before(cutoff) {
-				list = cl.history[i].list
-				break
-			}
+		names = append(names, cl.create(&cl.types[i], in.Yard, in.Loaner))
+	}
+	if len(names) == 0 {
+		return http.StatusServiceUnavailable, m{"error": "no capacity"}
+	}
+	cl.answers[in.Ask] = names
+	return http.StatusOK, m{"hosts": names}
+}
+
+// full reports whether the cloud has no more machines of a type, zone and kind.
+func (cl *Cloud) full(build, yard string, loaner bool) bool {
+	if len(cl.machines) >= cl.capacity {
+		return true
+	}
+	pools := cl.c.cfg.Pools
+	return pools != nil && cl.count(build, yard, loaner) >= pools(build)
+}
+
+func (cl *Cloud) remove(body []byte) {
+	var in struct{ Hosts []string }
+	if json.Unmarshal(body, &in) != nil {
+		return
+	}
+	for _, id := range in.Hosts {
+		if h := cl.machines[id]; h != nil {
+			delete(cl.machines, id)
+			h.worker.Die("deleted")
 		}
-		out := []m{}
-		more := false
-		for _, e := range list {
-			if e["id"].(string) > from {
-				if len(out) >= most {
-					more = true
-					break
-				}
-				out = append(out, e)
-			}
+	}
+}
+
+// page returns a page of the list as it was list_lag_s ago.
+func (cl *Cloud) page(from string, most int) m {
+	if most <= 0 {
+		most = 500
+	}
+	var list []m
+	cutoff := time.Now().Add(-cl.lag)
+	for i := len(cl.history) - 1; i >= 0 && list == nil; i-- {
+		if cl.history[i].at.Before(cutoff) {
+			list = cl.history[i].list
 		}
-		reply(w, 200, m{"hosts": out, "more": more})
-	default:
-		reply(w, 400, m{"error": "malformed"})
 	}
+	first := slices.IndexFunc(list, func(e m) bool { return fmt.Sprint(e["id"]) > from })
+	if first < 0 {
+		return m{"hosts": []m{}, "more": false}
+	}
+	list = list[first:]
+	return m{"hosts": list[:min(most, len(list))], "more": len(list) > most}
 }
 
 func (cl *Cloud) create(t *MachineType, yard string, loaner bool) string {
@@ -208,7 +218,7 @@
 			list = append(list, h.worker)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].id < list[j].id })
+	slices.SortFunc(list, func(a, b *Worker) int { return strings.Compare(a.id, b.id) })
 	return list
 }
 
--- a/review/rig-2/cluster.go
+++ b/review/rig-2/cluster.go
@@ -6,12 +6,9 @@
 	"math/rand"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
-	"syscall"
 	"time"
 )
 
@@ -29,7 +26,7 @@
 	CloudRPS float64
 	ListLagS float64
 	Capacity int
-	Pools    func(build, yard string, loaner bool) int // nil: no limit but Capacity
+	Pools    func(build string) int // machines of a type in each zone, of each kind; nil: no limit but Capacity
 	Boot     func() time.Duration
 	LogLevel string
 	Extra    string // appended to the settings
@@ -60,33 +57,24 @@
 	onAnswer func(w *Worker, node, status int, sent time.Time, tasks int)
 }
 
-// Node is one controller process.
-type Node struct {
-	c        *Cluster
-	index    int
-	name     string
-	public   string
-	settings string
-	cmd      *exec.Cmd
-	log      *os.File
-	mu       sync.Mutex
-	running  bool
-	planned  bool // an end that the case wants
-	held     bool // stopped by the case
-}
+// failure is a reason for which a case can't run.
+type failure struct{ cause error }
 
-var cluster *Cluster
+// must ends the case with exit code 2 where an error keeps it from running.
+func must(err error) {
+	if err != nil {
+		panic(failure{err})
+	}
+}
 
-func exit(code int) {
-	if cluster != nil {
-		for _, n := range cluster.nodes {
-			n.Kill()
-		}
-		if cluster.dir != "" && os.Getenv("KEEP") == "" {
-			os.RemoveAll(cluster.dir)
-		}
+// Close ends all controllers and removes the temporary folder.
+func (c *Cluster) Close() {
+	for _, n := range c.nodes {
+		n.Kill()
+	}
+	if os.Getenv("KEEP") == "" {
+		os.RemoveAll(c.dir)
 	}
-	os.Exit(code)
 }
 
 func itoa(i int) string    { return strconv.Itoa(i) }
@@ -109,7 +97,6 @@
 func newCluster(cfg Config, record string) *Cluster {
 	rec := newRecorder(record)
 	c := &Cluster{cfg: cfg, rec: rec, links: map[[2]int]*Link{}}
-	cluster = c
 	root := os.Getenv("ROOT")
 	c.bin = filepath.Join(root, "target", "rockrun")
 	dir, err := os.MkdirTemp("", "rockrun-review-")
@@ -164,181 +151,6 @@
 	return -1
 }
 
-// Start starts the process of a controller.
-func (n *Node) Start() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.running {
-		return
-	}
-	if n.log == nil {
-		f, err := os.Create(filepath.Join(n.c.dir, n.name+".log"))
-		must(err)
-		n.log = f
-	}
-	n.cmd = exec.Command(n.c.bin, "--config", n.settings)
-	n.cmd.Stderr = n.log
-	n.cmd.Stdout = n.log
-	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	level := n.c.cfg.LogLevel
-	if level == "" {
-		level = "info"
-	}
-	n.cmd.Env = append(os.Environ(), "LOG_LEVEL="+level)
-	must(n.cmd.Start())
-	n.running, n.planned, n.held = true, false, false
-	n.c.rec.Log("node %d started", n.index)
-	cmd := n.cmd
-	go func() {
-		err := cmd.Wait()
-		n.mu.Lock()
-		if n.cmd == cmd {
-			n.running = false
-		}
-		if !n.planned {
-			n.c.rec.Broken("ended", "node %d ended by itself: %v", n.index, err)
-		}
-		n.mu.Unlock()
-	}()
-}
-
-// Kill kills the process.
-func (n *Node) Kill() {
-	n.mu.Lock()
-	cmd := n.cmd
-	if cmd == nil || !n.running {
-		n.mu.Unlock()
-		return
-	}
-	n.planned = true
-	n.running = false
-	n.mu.Unlock()
-	n.c.rec.Log("fault node %d killed", n.index)
-	cmd.Process.Kill()
-	time.Sleep(20 * time.Millisecond)
-}
-
-// Signal sends a signal to the process.
-func (n *Node) Signal(sig syscall.Signal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.running {
-		n.c.rec.Log("fault node %d gets signal %v", n.index, sig)
-		n.held = sig == syscall.SIGSTOP || n.held && sig != syscall.SIGCONT
-		if sig == syscall.SIGTERM {
-			n.planned = true
-		}
-		n.cmd.Process.Signal(sig)
-	}
-}
-
-// Link is a proxy from one controller to another.
-type Link struct {
-	c        *Cluster
-	from, to int
-	addr     string
-	target   string
-	mu       sync.Mutex
-	cut      bool
-	refuse   bool
-	conns    map[net.Conn]bool
-}
-
-func newLink(c *Cluster, from, to int, target string) *Link {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	must(err)
-	link := &Link{c: c, from: from, to: to, addr: l.Addr().String(), target: target, conns: map[net.Conn]bool{}}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go link.serve(conn)
-		}
-	}()
-	return link
-}
-
-func (l *Link) serve(in net.Conn) {
-	l.mu.Lock()
-	if l.refuse {
-		l.mu.Unlock()
-		in.Close()
-		return
-	}
-	l.mu.Unlock()
-	out, err := net.DialTimeout("tcp4", l.target, time.Second)
-	if err != nil {
-		in.Close()
-		return
-	}
-	l.mu.Lock()
-	l.conns[in], l.conns[out] = true, true
-	l.mu.Unlock()
-	go l.pipe(in, out)
-	l.pipe(out, in)
-	l.mu.Lock()
-	delete(l.conns, in)
-	delete(l.conns, out)
-	l.mu.Unlock()
-}
-
-func (l *Link) pipe(from, to net.Conn) {
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buf)
-		for {
-			l.mu.Lock()
-			cut := l.cut
-			l.mu.Unlock()
-			if !cut {
-				break
-			}
-			time.Sleep(10 * time.Millisecond) // held back
-		}
-		if n > 0 {
-			if _, werr := to.Write(buf[:n]); werr != nil {
-				break
-			}
-		}
-		if err != nil {
-			break
-		}
-	}
-	from.Close()
-	to.Close()
-}
-
-// CutPeers cuts a controller from all others, or heals that. Packets are held back.
-func (c *Cluster) CutPeers(node int, on bool) {
-	c.rec.Log("fault node %d cut from its siblings: %v", node, on)
-	for key, l := range c.links {
-		if key[0] == node || key[1] == node {
-			l.mu.Lock()
-			l.cut = on
-			l.mu.Unlock()
-		}
-	}
-}
-
-// RefusePeers makes the connections between a controller and the others fail.
-func (c *Cluster) RefusePeers(node int, on bool) {
-	c.rec.Log("fault node %d connections with its siblings are reset: %v", node, on)
-	for key, l := range c.links {
-		if key[0] == node || key[1] == node {
-			l.mu.Lock()
-			l.refuse = on
-			if on {
-				for conn := range l.conns {
-					conn.Close()
-				}
-			}
-			l.mu.Unlock()
-		}
-	}
-}
-
 // Leader returns the index of the leader in the records, or -1.
 func (c *Cluster) Leader() int {
 	data, ok := c.store.Get("r/leader")
@@ -370,45 +182,3 @@
 		in.Close()
 	}
 }
-
-// RSS returns the resident memory of the process in MB.
-func (n *Node) RSS() float64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.running {
-		return 0
-	}
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	var size, rss float64
-	fmt.Sscan(string(data), &size, &rss)
-	return rss * float64(os.Getpagesize()) / (1 << 20)
-}
-
-// Throttle lets the process run for a share, in percent, of each 40 ms.
-func (n *Node) Throttle(share int, end time.Time) {
-	const period = 40 * time.Millisecond
-	on := period * time.Duration(share) / 100
-	for time.Now().Before(end) {
-		n.quiet(syscall.SIGSTOP)
-		time.Sleep(period - on)
-		n.mu.Lock()
-		held := n.held
-		n.mu.Unlock()
-		if !held {
-			n.quiet(syscall.SIGCONT)
-		}
-		time.Sleep(on)
-	}
-	n.quiet(syscall.SIGCONT)
-}
-
-func (n *Node) quiet(sig syscall.Signal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.running {
-		n.cmd.Process.Signal(sig)
-	}
-}
--- a/review/rig-2/drain.go
+++ b/review/rig-2/drain.go
@@ -13,14 +13,14 @@
 		if !waitFor(20*time.Second, func() bool { return c.Holder(0) >= 0 }) {
 			return 2
 		}
-		const real = 170
-		guess := float64(real)
+		const actual = 170
+		guess := float64(actual)
 		if trouble {
 			guess = 100
 			c.rec.Log("fault the owner's estimate is 100 s, the tasks run 170 s")
 		}
 		first := k.Add(&Job{ID: "run-000001", Lane: "digest-build", Crew: "ubani", Shape: "sweep", Rank: "normal", Pieces: 5, VCPUs: 8, RAM: 30,
-			Bundle: "img-digest", SizeGB: 0.5, GuessS: guess, run: real * time.Second})
+			Bundle: "img-digest", SizeGB: 0.5, GuessS: guess, run: actual * time.Second})
 		if !k.SubmitUntil(first) {
 			return 2
 		}
@@ -50,15 +50,7 @@
 		time.Sleep(time.Second)
 		free := room(c, j)
 		stage := k.Poll(j, 0)
-		k.mu.Lock()
-		used := k.used[j.Crew]
-		began := len(j.finished) > 0
-		for p := range k.running {
-			if id, _ := splitPiece(p); id == j.ID {
-				began = true
-			}
-		}
-		k.mu.Unlock()
+		used, began := k.usedBy(j.Crew), k.begun(j)
 		c.rec.Log("%s waits %.0f s, poll says %q, %s uses %.0f of %.0f CPUs, room on %v", j.ID, time.Since(since).Seconds(), stage, j.Crew, used, limit, free)
 		if began {
 			return 0
@@ -71,6 +63,6 @@
 			}
 		}
 	}
-	c.rec.Broken("left_waiting", "%s waits for 90 s, %s uses %.0f of %.0f CPUs, room on %v", j.ID, j.Crew, k.used[j.Crew], limit, room(c, j))
+	c.rec.Broken("left_waiting", "%s waits for 90 s, %s uses %.0f of %.0f CPUs, room on %v", j.ID, j.Crew, k.usedBy(j.Crew), limit, room(c, j))
 	return 1
 }
--- a/review/rig-2/holders.go
+++ b/review/rig-2/holders.go
@@ -36,34 +36,8 @@
 			return 2
 		}
 		c.rec.Log("leader is node %d, holder of all jobs is node %d", leader, holder)
-		var mu sync.Mutex
-		var first time.Time // when a command of the successor, with a higher token, first reached a worker
-		var top uint64
-		c.onCommand = func(w *Worker, body []byte) {
-			var in struct{ Baton uint64 }
-			json.Unmarshal(body, &in)
-			mu.Lock()
-			defer mu.Unlock()
-			if h := c.Holder(0); h >= 0 && h != holder && in.Baton > top && first.IsZero() {
-				first = time.Now()
-				c.rec.Log("node %d is granted the jobs and commands %s with token %d", h, w.id, in.Baton)
-			}
-			top = max(top, in.Baton)
-		}
-		var late []string
-		var last time.Duration
-		c.onAnswer = func(w *Worker, node, status int, sent time.Time, tasks int) {
-			mu.Lock()
-			defer mu.Unlock()
-			c.rec.Log("report of %s (%d tasks) at node %d: %d", w.id, tasks, node, status)
-			if status != 200 {
-				return
-			}
-			if node == holder && !first.IsZero() && sent.After(first) {
-				last = time.Since(first)
-				late = append(late, fmt.Sprintf("%s after %.1f s", w.id, last.Seconds()))
-			}
-		}
+		w := &holderWatch{c: c, holder: holder}
+		c.onCommand, c.onAnswer = w.onCommand, w.onAnswer
 		if trouble {
 			c.store.Refuse(leader, true)
 			c.store.Refuse(holder, true)
@@ -74,13 +48,53 @@
 			c.store.Refuse(holder, false)
 		}
 		time.Sleep(5 * time.Second)
-		mu.Lock()
-		defer mu.Unlock()
-		c.rec.Log("answers 200 of node %d to reports sent after its successor's first command: %v", holder, late)
-		if last > 4*time.Second {
-			c.rec.Broken("two_holders", "node %d answers %d reports with 200 while its successor acts, the last %.1f s after the successor's first command", holder, len(late), last.Seconds())
-			return 1
-		}
+		return w.judge()
+	}
+}
+
+// holderWatch notes the answers of the former holder beside its successor.
+type holderWatch struct {
+	c      *Cluster
+	holder int
+	mu     sync.Mutex
+	top    uint64
+	first  time.Time // when a command of the successor, with a higher token, first reached a worker
+	late   []string  // answers 200 of the former holder to reports sent after that
+	last   time.Duration
+}
+
+func (h *holderWatch) onCommand(w *Worker, body []byte) {
+	var in struct{ Baton uint64 }
+	if json.Unmarshal(body, &in) != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n := h.c.Holder(0); n >= 0 && n != h.holder && in.Baton > h.top && h.first.IsZero() {
+		h.first = time.Now()
+		h.c.rec.Log("node %d is granted the jobs and commands %s with token %d", n, w.id, in.Baton)
+	}
+	h.top = max(h.top, in.Baton)
+}
+
+func (h *holderWatch) onAnswer(w *Worker, node, status int, sent time.Time, tasks int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.c.rec.Log("report of %s (%d tasks) at node %d: %d", w.id, tasks, node, status)
+	if status == 200 && node == h.holder && !h.first.IsZero() && sent.After(h.first) {
+		h.last = time.Since(h.first)
+		h.late = append(h.late, fmt.Sprintf("%s after %.1f s", w.id, h.last.Seconds()))
+	}
+}
+
+func (h *holderWatch) judge() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.c.rec.Log("answers 200 of node %d to reports sent after its successor's first command: %v", h.holder, h.late)
+	if h.last <= 4*time.Second {
 		return 0
 	}
+	h.c.rec.Broken("two_holders", "node %d answers %d reports with 200 while its successor acts, the last %.1f s after the successor's first command",
+		h.holder, len(h.late), h.last.Seconds())
+	return 1
 }
--- a/review/rig-2/idle.go
+++ b/review/rig-2/idle.go
@@ -13,13 +13,8 @@
 func room(c *Cluster, j *Job) (list []string) {
 	for _, w := range c.cloud.Workers() {
 		w.mu.Lock()
-		cpus, ram := w.t.CPUs, w.t.RAM
-		for _, t := range w.tasks {
-			if t.stage != "ended" {
-				cpus -= t.job.VCPUs
-				ram -= t.job.RAM
-			}
-		}
+		cpus, ram, _ := w.booked("")
+		cpus, ram = w.t.CPUs-cpus, w.t.RAM-ram
 		if !w.dead && (j.Loaner || !w.loaner) && cpus >= j.VCPUs && ram >= j.RAM {
 			list = append(list, fmt.Sprintf("%s(%s, %.0f CPUs and %.0f GB free, %d tasks)", w.id, w.yard, cpus, ram, len(w.tasks)))
 		}
@@ -28,92 +23,74 @@
 	return list
 }
 
+// smallPools is the capacity of the small size of ezo-boards-grown.
+func smallPools(build string) int {
+	if build == "kvari-large" {
+		return 1
+	}
+	return 3
+}
+
+// granted waits until the first shards are granted.
+func granted(c *Cluster) bool {
+	return waitFor(20*time.Second, func() bool { return c.Holder(0) >= 0 && c.Holder(1) >= 0 })
+}
+
 func idleBlock(trouble bool) (Config, func(c *Cluster) int) {
 	cfg := ezo()
 	cfg.setNodes(5)
-	cfg.Pools = func(build, yard string, loaner bool) int {
-		if build == "kvari-large" {
-			return 1
-		}
-		return 3
-	}
+	cfg.Pools = smallPools
 	return cfg, func(c *Cluster) int {
-		k := c.check
-		if !waitFor(20*time.Second, func() bool { return c.Holder(0) >= 0 && c.Holder(1) >= 0 }) {
+		if !granted(c) {
 			return 2
 		}
-		boards := arrivals(c, trouble, 3, func(j *Job) { j.Spread = true })
+		boards := arrivals(c, trouble, 6, func(j *Job) { j.Spread = true })
 		time.Sleep(4 * time.Second)
-		// Users withdraw most boards. Each large machine keeps one of those that it has.
 		keep := map[string]bool{}
 		for _, w := range c.cloud.Workers() {
-			if w.t.Name != "kvari-large" {
-				continue
-			}
-			w.mu.Lock()
-			best := ""
-			for _, t := range w.tasks {
-				if t.stage == "running" && (best == "" || !keep[best] && (keep[t.job.ID] || t.job.ID < best)) {
-					best = t.job.ID
-				}
-			}
-			w.mu.Unlock()
-			if best != "" {
-				keep[best] = true
-			}
-		}
-		var wg sync.WaitGroup
-		for _, j := range boards {
-			if keep[j.ID] {
-				continue
+			if board := oneBoard(w, keep); w.t.Name == "kvari-large" && board != "" {
+				keep[board] = true
 			}
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				for range 20 {
-					if k.Cancel(j, rand.Intn(len(c.nodes))) != "" {
-						return
-					}
-					time.Sleep(time.Second)
-				}
-			}()
 		}
-		wg.Wait()
+		withdraw(c, boards, keep)
 		c.rec.Log("kept %v", keep)
 		time.Sleep(time.Second)
-		j := k.Add(&Job{ID: "run-900000", Lane: "digest-build", Crew: "ubani", Shape: "sweep", Rank: "normal", Pieces: 2, VCPUs: 8, RAM: 30,
+		j := c.check.Add(&Job{ID: "run-900000", Lane: "digest-build", Crew: "ubani", Shape: "sweep", Rank: "normal", Pieces: 2, VCPUs: 8, RAM: 30,
 			Bundle: "img-digest", SizeGB: 1.8, GuessS: 20, run: 5 * time.Second})
-		if !k.SubmitUntil(j) {
+		if !c.check.SubmitUntil(j) {
 			return 2
 		}
-		since := time.Now()
-		began := false
-		for time.Since(since) < 91*time.Second && !began {
-			time.Sleep(time.Second)
-			free := room(c, j)
-			c.rec.Log("digest waits %.0f s, poll says %q, room on %v", time.Since(since).Seconds(), k.Poll(j, 0), free)
-			k.mu.Lock()
-			for p := range k.running {
-				if id, _ := splitPiece(p); id == j.ID {
-					began = true
-				}
-			}
-			began = began || len(j.finished) > 0
-			k.mu.Unlock()
-			if len(free) == 0 {
-				since = time.Now()
-				if time.Since(c.rec.began) > 28*time.Second {
-					c.rec.Log("no machine has room")
-					return 2
-				}
-			}
+		return leftWaiting(c, j, 176)
+	}
+}
+
+// oneBoard returns a job that runs on a machine, one that is kept already if there is one.
+func oneBoard(w *Worker, keep map[string]bool) (best string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.tasks {
+		better := best == "" || !keep[best] && (keep[t.job.ID] || t.job.ID < best)
+		if t.stage == "running" && better {
+			best = t.job.ID
 		}
-		if !began {
-			c.rec.Broken("left_waiting", "run-900000 waits for 90 s while a machine that fits has room: %v", room(c, j))
-			return 1
+	}
+	return best
+}
+
+// withdraw lets users withdraw all boards but those to be kept.
+func withdraw(c *Cluster, boards []*Job, keep map[string]bool) {
+	var wg sync.WaitGroup
+	for _, j := range boards {
+		if keep[j.ID] {
+			continue
 		}
-		return 0
+		wg.Go(func() {
+			for tries := 0; tries < 20 && c.check.Cancel(j, rand.Intn(len(c.nodes))) == ""; tries++ {
+				time.Sleep(time.Second)
+			}
+		})
 	}
+	wg.Wait()
 }
 
 // arrivals lets board-live come for 16 s: 30 a minute as the page says, or 2.5 times as often.
@@ -130,8 +107,7 @@
 			VCPUs: 2, RAM: 12, Bundle: "img-board", SizeGB: 0.7}
 		change(j)
 		list = append(list, c.check.Add(j))
-		wg.Add(1)
-		go func() { defer wg.Done(); c.check.SubmitUntil(j) }()
+		wg.Go(func() { c.check.SubmitUntil(j) })
 		time.Sleep(every)
 	}
 	wg.Wait()
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -1,3 +1,5 @@
+// Command rig plays the cases of the second review: real controllers against stand-ins of the
+// state service, the cloud, the workers, the users and the links between controllers.
 package main
 
 import (
@@ -40,36 +42,42 @@
 // cases are the cases by name: each returns the deployment and a function that plays it.
 var cases = map[string]func(trouble bool) (Config, func(c *Cluster) int){}
 
-func main() {
-	if len(os.Args) < 3 {
+func main() { os.Exit(run()) }
+
+// run plays the case that the command line names and returns the exit code.
+func run() (code int) {
+	if len(os.Args) < 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: rig CASE RECORD")
-		os.Exit(2)
-	}
-	f := cases[os.Args[1]]
-	if f == nil {
-		fmt.Println("no such case")
-		os.Exit(2)
+		return 2
 	}
-	cfg, play := f(os.Getenv("TROUBLE") != "0")
+	defer func() {
+		if f, cannot := recover().(failure); cannot {
+			fmt.Println("rig:", f.cause)
+			code = 2
+		}
+	}()
+	cfg, play := cases[os.Args[1]](os.Getenv("TROUBLE") != "0")
 	cfg.LogLevel = os.Getenv("LOG_LEVEL")
 	c := newCluster(cfg, os.Args[2])
+	defer c.Close()
 	ends := make(chan os.Signal, 1)
 	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-ends
-		exit(2)
-	}()
-	stop := make(chan bool)
-	go c.check.watch(stop)
+	played := make(chan int, 1)
+	go c.check.watch()
 	for _, n := range c.nodes {
 		n.Start()
 	}
-	code := play(c)
+	go func() { played <- play(c) }()
+	select {
+	case code = <-played:
+	case <-ends:
+		code = 2
+	}
 	if dir := os.Getenv("LOGS"); dir != "" {
 		c.CopyLogs(dir)
 	}
 	c.rec.Log("result %d", code)
-	exit(code)
+	return code
 }
 
 // waitFor waits until a condition holds.
--- a/review/rig-2/odd.go
+++ b/review/rig-2/odd.go
@@ -9,7 +9,7 @@
 
 func init() { cases["odd"] = odd }
 
-func odd(trouble bool) (Config, func(c *Cluster) int) {
+func odd(_ bool) (Config, func(c *Cluster) int) {
 	cfg := ezo()
 	pieces, _ := strconv.Atoi(os.Getenv("PIECES"))
 	cpus, _ := strconv.ParseFloat(os.Getenv("CPUS"), 64)
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -2,12 +2,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"math/rand"
 	"net"
 	"net/http"
-	"sort"
-	"strconv"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -29,11 +27,9 @@
 	delay    map[int]func() time.Duration
 	lateRate float64 // share of transactions that get no answer and are carried out late
 	lostRate float64 // share of transactions that are carried out and whose answer is lost
-	lateKey  string  // only transactions that put or remove a key with this prefix
 	limits   StoreLimits
 	reqs     bucket
 	writes   bucket
-	onCommit func(node int, body []byte)
 	rec      *Recorder
 }
 
@@ -171,7 +167,7 @@
 	return l.Addr().String()
 }
 
-func drop(w http.ResponseWriter, r *http.Request) {
+func drop(_ http.ResponseWriter, r *http.Request) {
 	// No answer: the caller gives up by itself.
 	select {
 	case <-r.Context().Done():
@@ -189,284 +185,6 @@
 
 type m = map[string]any
 
-func (s *Store) handle(node int, w http.ResponseWriter, r *http.Request) {
-	var body json.RawMessage
-	if r.Method == "POST" {
-		buf := make([]byte, 0, 1024)
-		tmp := make([]byte, 4096)
-		for {
-			n, err := r.Body.Read(tmp)
-			buf = append(buf, tmp[:n]...)
-			if err != nil {
-				break
-			}
-		}
-		body = buf
-	}
-	s.mu.Lock()
-	d := s.delay[node]
-	isCut := s.cut[node]
-	s.mu.Unlock()
-	if isCut {
-		drop(w, r)
-	}
-	if d != nil && !strings.HasPrefix(r.URL.Path, "/follow") {
-		time.Sleep(d())
-	}
-	s.mu.Lock()
-	if s.unavailable(node) {
-		s.mu.Unlock()
-		reply(w, 503, m{"error": "unavailable"})
-		return
-	}
-	if !s.reqs.take(1) {
-		s.mu.Unlock()
-		reply(w, 429, m{"error": "too many"})
-		return
-	}
-	p := r.URL.Path
-	switch {
-	case r.Method == "GET" && strings.HasPrefix(p, "/store/"):
-		defer s.mu.Unlock()
-		key := strings.TrimPrefix(p, "/store/")
-		it := s.items[key]
-		if it == nil {
-			reply(w, 404, m{"epoch": s.rev})
-			return
-		}
-		out := m{"k": key, "data": it.data, "stamp": it.stamp}
-		if it.lease != 0 {
-			out["permit"] = it.lease
-		}
-		reply(w, 200, out)
-	case r.Method == "GET" && p == "/store":
-		defer s.mu.Unlock()
-		s.list(w, r)
-	case p == "/multi":
-		s.mu.Unlock()
-		s.multi(node, w, r, body)
-	case p == "/holds" && r.Method == "POST":
-		defer s.mu.Unlock()
-		var in struct{ LifeMs int64 }
-		json.Unmarshal(body, &in)
-		if in.LifeMs < 100 || in.LifeMs > 600000 {
-			reply(w, 400, m{"error": "lifeMs"})
-			return
-		}
-		s.nextID++
-		ttl := time.Duration(in.LifeMs) * time.Millisecond
-		s.leases[s.nextID] = &lease{ttl, time.Now().Add(ttl)}
-		reply(w, 200, m{"permit": s.nextID})
-	case strings.HasPrefix(p, "/holds/"):
-		defer s.mu.Unlock()
-		parts := strings.Split(strings.TrimPrefix(p, "/holds/"), "/")
-		id, _ := strconv.ParseUint(parts[0], 10, 64)
-		l := s.leases[id]
-		switch {
-		case l == nil:
-			reply(w, 404, m{"error": "no such lease"})
-		case r.Method == "DELETE":
-			s.endLease(id)
-			reply(w, 200, m{})
-		default:
-			l.expires = time.Now().Add(l.ttl)
-			reply(w, 200, m{})
-		}
-	case p == "/follow":
-		s.mu.Unlock()
-		s.follow(node, w, r, d)
-	default:
-		s.mu.Unlock()
-		reply(w, 400, m{"error": "malformed"})
-	}
-}
-
-func (s *Store) list(w http.ResponseWriter, r *http.Request) {
-	prefix, from := r.URL.Query().Get("prefix"), r.URL.Query().Get("from")
-	most, _ := strconv.Atoi(r.URL.Query().Get("most"))
-	if most <= 0 || most > 1000 {
-		most = 1000
-	}
-	var keys []string
-	for k := range s.items {
-		if strings.HasPrefix(k, prefix) && k > from {
-			keys = append(keys, k)
-		}
-	}
-	sort.Strings(keys)
-	var out []m
-	size := 0
-	more := false
-	for i, k := range keys {
-		it := s.items[k]
-		if len(out) >= most || size+len(it.data) > 500<<10 {
-			more = i < len(keys)
-			break
-		}
-		size += len(it.data) + len(k) + 40
-		e := m{"k": k, "data": it.data, "stamp": it.stamp}
-		if it.lease != 0 {
-			e["permit"] = it.lease
-		}
-		out = append(out, e)
-	}
-	reply(w, 200, m{"items": out, "more": more, "epoch": s.rev})
-}
-
-type txn struct {
-	When []struct {
-		K     string
-		Stamp uint64
-	}
-	Apply []struct {
-		Put    string
-		Remove string
-		Data   json.RawMessage
-		Permit uint64
-	}
-}
-
-func (s *Store) multi(node int, w http.ResponseWriter, r *http.Request, body []byte) {
-	var t txn
-	if json.Unmarshal(body, &t) != nil {
-		reply(w, 400, m{"error": "malformed"})
-		return
-	}
-	s.mu.Lock()
-	if s.onCommit != nil {
-		s.onCommit(node, body)
-	}
-	touches := s.lateKey == ""
-	for _, op := range t.Apply {
-		if s.lateKey != "" && (strings.HasPrefix(op.Put, s.lateKey) || strings.HasPrefix(op.Remove, s.lateKey)) {
-			touches = true
-		}
-	}
-	late := touches && s.lateRate > 0 && rand.Float64() < s.lateRate
-	lost := touches && s.lostRate > 0 && rand.Float64() < s.lostRate
-	s.mu.Unlock()
-	if late {
-		wait := 2*time.Second + time.Duration(rand.Int63n(int64(10*time.Second)))
-		time.AfterFunc(wait, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if !s.unavailable(node) {
-				s.apply(&t, len(body))
-			}
-		})
-		drop(w, r)
-	}
-	s.mu.Lock()
-	status, out := s.apply(&t, len(body))
-	s.mu.Unlock()
-	if lost {
-		drop(w, r)
-	}
-	reply(w, status, out)
-}
-
-func (s *Store) apply(t *txn, size int) (int, m) {
-	if len(t.Apply) > s.limits.Ops || len(t.When) > 4*s.limits.Ops || size > 64<<10 {
-		s.rec.Log("store: transaction over the limits: %d changes, %d conditions, %d bytes", len(t.Apply), len(t.When), size)
-		return 400, m{"error": "too large"}
-	}
-	for _, op := range t.Apply {
-		if float64(len(op.Data)) > s.limits.ValueKB*1024 {
-			s.rec.Log("store: value over the limit: %s %d bytes", op.Put, len(op.Data))
-			return 400, m{"error": "value too large"}
-		}
-		if op.Put != "" && op.Permit != 0 && s.leases[op.Permit] == nil {
-			return 400, m{"error": "no such lease"}
-		}
-	}
-	if !s.writes.take(float64(len(t.Apply))) {
-		return 429, m{"error": "too many"}
-	}
-	var failed []string
-	for _, c := range t.When {
-		have := uint64(0)
-		if it := s.items[c.K]; it != nil {
-			have = it.stamp
-		}
-		if have != c.Stamp {
-			failed = append(failed, c.K)
-		}
-	}
-	if len(failed) > 0 {
-		return 409, m{"failed": failed, "epoch": s.rev}
-	}
-	if len(t.Apply) > 0 {
-		s.rev++
-		for _, op := range t.Apply {
-			if op.Put != "" {
-				s.items[op.Put] = &item{op.Data, s.rev, op.Permit}
-				s.log = append(s.log, event{Put: op.Put, Data: op.Data, Stamp: s.rev})
-			} else if s.items[op.Remove] != nil {
-				delete(s.items, op.Remove)
-				s.log = append(s.log, event{Remove: op.Remove, Stamp: s.rev})
-			}
-		}
-		s.notify()
-	}
-	return 200, m{"epoch": s.rev}
-}
-
-func (s *Store) follow(node int, w http.ResponseWriter, r *http.Request, delay func() time.Duration) {
-	q := r.URL.Query()
-	prefix := q.Get("prefix")
-	from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
-	block, _ := strconv.Atoi(q.Get("blockMs"))
-	end := time.After(time.Duration(block) * time.Millisecond)
-	timeUp := block == 0
-	for {
-		s.mu.Lock()
-		if s.cut[node] {
-			s.mu.Unlock()
-			drop(w, r)
-		}
-		if !s.unavailable(node) {
-			if n := len(s.log); n > 10000 && s.log[n-10000].Stamp > from+1 {
-				s.mu.Unlock()
-				reply(w, 410, m{"error": "too old"})
-				return
-			}
-			evs := []event{}
-			i := sort.Search(len(s.log), func(i int) bool { return s.log[i].Stamp > from })
-			for ; i < len(s.log); i++ {
-				e := s.log[i]
-				if strings.HasPrefix(e.Put+e.Remove, prefix) {
-					evs = append(evs, e)
-				}
-			}
-			if len(evs) > 0 || timeUp {
-				out := m{"epoch": s.rev, "events": evs}
-				s.mu.Unlock()
-				if delay != nil {
-					time.Sleep(delay())
-					s.mu.Lock()
-					gone := s.cut[node]
-					s.mu.Unlock()
-					if gone {
-						drop(w, r)
-					}
-				}
-				reply(w, 200, out)
-				return
-			}
-		}
-		ch := s.changed
-		s.mu.Unlock()
-		select {
-		case <-ch:
-		case <-end:
-			timeUp = true
-			end = nil
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
 // Get reads a value for the rig itself.
 func (s *Store) Get(key string) (json.RawMessage, bool) {
 	s.mu.Lock()
@@ -486,13 +204,26 @@
 			keys = append(keys, k)
 		}
 	}
-	sort.Strings(keys)
+	slices.Sort(keys)
 	return keys
 }
 
-func must(err error) {
-	if err != nil {
-		fmt.Println("rig:", err)
-		exit(2)
+// SetRates sets the share of transactions that are carried out late, and of those whose answer is
+// lost.
+func (s *Store) SetRates(late, lost float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateRate, s.lostRate = late, lost
+	s.rec.Log("fault transactions late %.1f, answers lost %.1f", late, lost)
+}
+
+// Slow delays the answers to one controller by up to 1.5 s, or ends that.
+func (s *Store) Slow(node int, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rec.Log("fault state slow for node %d: %v", node, on)
+	delete(s.delay, node)
+	if on {
+		s.delay[node] = func() time.Duration { return time.Duration(rand.Intn(1500)) * time.Millisecond }
 	}
 }
